--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+GO ?= go
+BIN := bin
+SEED ?= 1
+FUZZ_SECONDS ?= 60
+
+.PHONY: all build fmt vet staticcheck check test fuzz bench demo generate clean
+
+all: check
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+fmt:
+	@unformatted=$$(gofmt -l cmd pkg standin); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+
+vet:
+	$(GO) vet ./...
+
+staticcheck:
+	$(GO) tool staticcheck ./...
+
+check: fmt vet staticcheck build
+
+# rapid draws a new seed for each run unless it is told one. Only test binaries
+# that import rapid know its flag, so the packages are tested in two groups.
+RAPID_PACKAGES = $$($(GO) list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}} {{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}} {{end}}{{end}}' ./... | tr ' ' '\n' | sort -u | grep . || true)
+
+test: check
+	@rapid="$(RAPID_PACKAGES)"; \
+	rest=$$($(GO) list ./... | grep -vxF "$${rapid:-none}"); \
+	status=0; \
+	$(GO) test -race -count=1 -timeout 300s $$rest || status=1; \
+	if [ -n "$$rapid" ]; then $(GO) test -race -count=1 -timeout 300s $$rapid -rapid.seed=$(SEED) -rapid.nofailfile || status=1; fi; \
+	exit $$status
+
+generate:
+	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+	  --go-drpc_out=. --go-drpc_opt=paths=source_relative pkg/peer/peerpb/peer.proto
+
+clean:
+	rm -rf $(BIN) out
