--- /dev/null
+++ b/pkg/routing/doc.go
@@ -0,0 +1,21 @@
+// Package routing selects a backend server for each attempt.
+//
+// A Set holds the backend servers of one service as this instance sees them:
+// attempts in flight, the last load report, a latency estimate, a limit and a
+// weight. Pick asks the policy named in the settings and counts the attempt in
+// flight; the caller ends it with Server.End. Each policy is a small type in
+// its own folder.
+//
+// A decision reads one immutable list through an atomic pointer, looks at a
+// constant number of backend servers and allocates nothing. Update and
+// Configure replace the list and the policy; attempts in flight keep their
+// *Server. State is local to the instance and is rebuilt from responses after
+// a restart.
+//
+// Load reports come with ordinary responses (Server.Observe), with replies to
+// probes (Set.Probed) and from other instances of the failure domain (Merge).
+//
+// Tests: routing_test.go (properties of Pick, concurrent use, explanations) and
+// bench_test.go (time and allocations of a decision). The quality of the
+// policies is measured by pkg/bench.
+package routing
--- /dev/null
+++ b/pkg/routing/p2creported/p2creported.go
@@ -0,0 +1,28 @@
+// Package p2creported selects the better of two random backend servers by the
+// requests in flight that they last reported, whatever the age of the report.
+// A backend server without a report counts as idle.
+package p2creported
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lentilpin/pkg/routing/server"
+)
+
+// Policy is the power of two choices on reported load.
+type Policy struct{}
+
+// Choose implements server.Policy.
+func (Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
+	a, b := l.Draw(r, 0, l.Len(), exclude), l.Draw(r, 0, l.Len(), exclude)
+	if a == nil || b == nil {
+		return a
+	}
+	ra, _, _ := a.Reported(now)
+	rb, _, _ := b.Reported(now)
+	if ra.Load() <= rb.Load() {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/pkg/routing/roundrobin/roundrobin.go
@@ -0,0 +1,40 @@
+// Package roundrobin selects the backend servers in turn. It is a baseline
+// without any knowledge of load.
+package roundrobin
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"lentilpin/pkg/routing/server"
+)
+
+// Policy is the round-robin policy of one instance.
+type Policy struct{ next atomic.Uint64 }
+
+// New returns a policy that starts at the given position, so that instances
+// do not go round in step.
+func New(start uint64) *Policy {
+	p := &Policy{}
+	p.next.Store(start)
+	return p
+}
+
+// Choose implements server.Policy. A backend server of weight w keeps its turn
+// with probability w.
+func (p *Policy) Choose(_ time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
+	n := l.Len()
+	if n == 0 {
+		return nil
+	}
+	var s *server.Server
+	for range 2 {
+		i := int(p.next.Add(1) % uint64(n))
+		s = l.Next(i, 0, n, exclude)
+		if s == nil || s.Weight() >= 1 || r.Float64() < s.Weight() {
+			return s
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,235 @@
+package routing_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/routing"
+)
+
+var policies = []string{"lentilpin", "prequal", "random", "roundrobin", "leastoutstanding", "p2c", "p2creported"}
+
+func settings(t testing.TB, policy string) *dynamic.Service {
+	t.Helper()
+	tree, err := dynamic.Parse(fmt.Appendf(nil, `{"version":1,"regions":{"r":{"services":{"s":{"routing":{"policy":%q}}}}}}`, policy))
+	require.NoError(t, err)
+	s := tree.Lookup("r", "s").Service
+	return &s
+}
+
+func backends(n int) []routing.Backend {
+	var list []routing.Backend
+	for i := range n {
+		list = append(list, routing.Backend{Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), FailureDomain: string(rune('a' + i%3))})
+	}
+	return list
+}
+
+func newSet(t testing.TB, policy string, n int) *routing.Set {
+	t.Helper()
+	set, err := routing.NewSet(routing.Options{Service: "s", FailureDomain: "a", Seed: 1, Settings: settings(t, policy)})
+	require.NoError(t, err)
+	set.Update(0, backends(n))
+	return set
+}
+
+// Guards against a policy that exceeds a limit, sends work to a backend server
+// of weight 0 or to an excluded one, or fails to find the last free one.
+func TestPickRespectsLimitWeightAndExclude(t *testing.T) {
+	for _, policy := range policies {
+		t.Run(policy, func(t *testing.T) {
+			set := newSet(t, policy, 100)
+			servers := set.Servers()
+			servers[3].SetWeight(0)
+			servers[4].SetLimit(1)
+			exclude := []*routing.Server{servers[5]}
+			picked := map[*routing.Server]int32{}
+			for range 98*6 - 5 {
+				s := set.Pick(0, exclude)
+				require.NotNil(t, s)
+				picked[s]++
+			}
+			require.Nil(t, set.Pick(0, exclude))
+			for s, n := range picked {
+				require.Equal(t, s.Limit(), n)
+			}
+			require.Zero(t, picked[servers[3]]+picked[servers[5]])
+			servers[7].End(time.Millisecond, time.Millisecond, routing.Success)
+			require.Same(t, servers[7], set.Pick(time.Millisecond, exclude))
+			servers[3].SetWeight(1)
+			require.Same(t, servers[3], set.Pick(time.Millisecond, exclude))
+		})
+	}
+}
+
+// Guards against slow start without effect: at weight 0.1 a backend server
+// must get far less than its share from every policy.
+func TestWeightReducesShare(t *testing.T) {
+	for _, policy := range policies {
+		t.Run(policy, func(t *testing.T) {
+			set := newSet(t, policy, 12)
+			low := set.Servers()[0]
+			low.SetWeight(0.1)
+			n := 0
+			for i := range 4000 {
+				now := time.Duration(i) * time.Millisecond
+				s := set.Pick(now, nil)
+				if s == low {
+					n++
+				}
+				set.Probed(now, set.Servers()[i%12], routing.Report{Inflight: 1, Slots: 6})
+				s.Observe(now, routing.Report{Inflight: 1, Slots: 6}, 0)
+				s.End(now, time.Millisecond, routing.Success)
+			}
+			fair := 4000 / 12
+			if policy == "lentilpin" {
+				fair = 4000 / 4 // four backend servers are in the own failure domain
+			}
+			require.Less(t, n, fair/2)
+		})
+	}
+}
+
+// Guards against counters that leak or exceed the limit under concurrent
+// picks, list updates and weight changes; run with -race.
+func TestConcurrentUse(t *testing.T) {
+	for _, policy := range policies {
+		t.Run(policy, func(t *testing.T) {
+			set := newSet(t, policy, 30)
+			var wg sync.WaitGroup
+			for g := range 8 {
+				wg.Go(func() {
+					for i := range 500 {
+						now := time.Duration(i) * time.Millisecond
+						if g == 0 {
+							set.Update(now, backends(20+i%10))
+							set.Servers()[i%20].SetWeight(float64(i % 3))
+						}
+						s := set.Pick(now, nil)
+						if s == nil {
+							continue
+						}
+						if s.Inflight() > s.Limit()+8 {
+							t.Error("limit exceeded")
+						}
+						set.Probed(now, s, routing.Report{Inflight: int32(i % 6), Slots: 6})
+						set.Why(now, s.Address())
+						s.End(now, time.Millisecond, routing.Outcome(i%6))
+					}
+				})
+			}
+			wg.Wait()
+			for _, s := range set.Servers() {
+				require.Zero(t, s.Inflight())
+				s.SetWeight(1)
+			}
+			for range len(set.Servers()) * 6 {
+				require.NotNil(t, set.Pick(time.Second, nil), "a usable backend server is not marked as usable")
+			}
+		})
+	}
+}
+
+// Guards against a late report that replaces a newer one.
+func TestOlderReportIsIgnored(t *testing.T) {
+	set := newSet(t, "lentilpin", 3)
+	s := set.Servers()[0]
+	s.Observe(time.Second, routing.Report{Inflight: 5}, 10*time.Millisecond)
+	set.Merge(time.Second, routing.SharedReport{Address: s.Address(), Report: routing.Report{Inflight: 1}, Age: 20 * time.Millisecond})
+	r, age, ok := s.Reported(time.Second)
+	require.True(t, ok)
+	require.Equal(t, int32(5), r.Inflight)
+	require.Equal(t, 10*time.Millisecond, age)
+	require.Len(t, set.Reports(time.Second, 15*time.Millisecond), 1)
+	require.Empty(t, set.Reports(time.Second, 5*time.Millisecond))
+}
+
+// Guards against a backend server that fails fast and attracts load.
+func TestFailingFastAttractsNoLoad(t *testing.T) {
+	set := newSet(t, "lentilpin", 12)
+	bad, n := set.Servers()[0], 0
+	for i := range 3000 {
+		now := time.Duration(i) * time.Millisecond
+		s := set.Pick(now, nil)
+		s.Observe(now, routing.Report{Inflight: 2, Slots: 6, Latency: 10 * time.Millisecond}, 0)
+		if s == bad {
+			n++
+			s.Observe(now, routing.Report{Slots: 6}, 0)
+			s.End(now, 100*time.Microsecond, routing.ErrorResponse)
+			continue
+		}
+		s.End(now, 10*time.Millisecond, routing.Success)
+	}
+	require.Less(t, n, 3000/12/2)
+}
+
+// Guards against an explanation that names no reason or the wrong one.
+func TestWhy(t *testing.T) {
+	tests := []struct {
+		desc string
+		act  func(s *routing.Server)
+		want string
+	}{
+		{"ejected", func(s *routing.Server) { s.SetWeight(0) }, "weight 0"},
+		{"slow start", func(s *routing.Server) { s.SetWeight(0.5) }, "weight 0.50"},
+		{"at limit", func(s *routing.Server) { s.SetLimit(1); s.Begin() }, "at its limit: 1 of 1"},
+		{"errors", func(s *routing.Server) { s.Begin(); s.End(time.Second, 1, routing.Broken) }, "attempts failed"},
+		{"slow", func(s *routing.Server) { s.Begin(); s.End(time.Second, time.Second, routing.Success) }, "latency 1s against"},
+		{"loaded", func(s *routing.Server) { s.Observe(time.Second, routing.Report{Inflight: 6, Queued: 9}, 0) }, "estimated load 15.0"},
+		{"no report", func(*routing.Server) {}, "no load report"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			set := newSet(t, "lentilpin", 3)
+			for range 50 {
+				s := set.Servers()[1]
+				s.Begin()
+				s.Observe(time.Second, routing.Report{Inflight: 1}, 0)
+				s.End(time.Second, time.Millisecond, routing.Success)
+			}
+			s := set.Servers()[0]
+			tc.act(s)
+			e := set.Why(time.Second, s.Address())
+			require.True(t, e.Known)
+			require.Contains(t, fmt.Sprint(e.Reasons), tc.want)
+		})
+	}
+	set := newSet(t, "lentilpin", 3)
+	require.Contains(t, set.Why(0, "10.9.9.9:80").Reasons[0], "not in the instance list")
+	require.Contains(t, fmt.Sprint(set.Why(0, set.Servers()[2].Address()).Reasons), "failure domain c")
+}
+
+// Guards against settings that name no policy and against a change that loses
+// the attempts in flight.
+func TestConfigure(t *testing.T) {
+	set := newSet(t, "random", 6)
+	s := set.Pick(0, nil)
+	bad := *settings(t, "random")
+	bad.Routing.Policy = "none"
+	require.ErrorIs(t, set.Configure(&bad), routing.ErrUnknownPolicy)
+	require.NoError(t, set.Configure(settings(t, "prequal")))
+	require.Equal(t, 3.0, set.ProbesPerRequest())
+	require.Equal(t, int32(1), s.Inflight())
+	set.Update(0, nil)
+	require.Nil(t, set.Pick(0, nil))
+	s.End(0, 0, routing.Canceled)
+	require.Zero(t, s.Inflight())
+}
+
+// Guards against a decision that allocates.
+func TestPickDoesNotAllocate(t *testing.T) {
+	for _, policy := range policies {
+		set := newSet(t, policy, 100)
+		exclude := []*routing.Server{set.Servers()[0]}
+		require.Zero(t, testing.AllocsPerRun(100, func() {
+			s := set.Pick(time.Second, exclude)
+			set.Probed(time.Second, s, routing.Report{Inflight: 2, Slots: 6})
+			s.End(time.Second, time.Millisecond, routing.Success)
+		}), policy)
+	}
+}
--- /dev/null
+++ b/pkg/routing/server/shared.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+)
+
+// Shared holds estimates over all backend servers of a service.
+type Shared struct {
+	load         atomic.Uint64 // float64 bits
+	latency      atomic.Uint64 // float64 bits, nanoseconds
+	errorLatency atomic.Int64
+}
+
+// sharedGain is the weight of one report or response in the mean over all
+// backend servers: about the last 50 samples count.
+const sharedGain = 0.02
+
+// NewShared returns empty estimates.
+func NewShared(errorLatency time.Duration) *Shared {
+	s := &Shared{}
+	s.SetErrorLatency(errorLatency)
+	return s
+}
+
+// SetErrorLatency sets the least latency with which a failed attempt counts.
+func (s *Shared) SetErrorLatency(d time.Duration) { s.errorLatency.Store(int64(d)) }
+
+// ErrorLatency returns the least latency with which a failed attempt counts.
+func (s *Shared) ErrorLatency() time.Duration { return time.Duration(s.errorLatency.Load()) }
+
+// MeanLoad returns the mean of the requests at a backend server as reported.
+func (s *Shared) MeanLoad() float64 { return math.Float64frombits(s.load.Load()) }
+
+// MeanLatency returns the mean latency of successful attempts.
+func (s *Shared) MeanLatency() time.Duration {
+	return time.Duration(math.Float64frombits(s.latency.Load()))
+}
+
+func (s *Shared) observeLoad(load float64)       { average(&s.load, load) }
+func (s *Shared) observeLatency(latency float64) { average(&s.latency, latency) }
+
+// average may lose one of two concurrent samples, which a mean tolerates.
+func average(v *atomic.Uint64, sample float64) {
+	old := math.Float64frombits(v.Load())
+	if old == 0 {
+		v.Store(math.Float64bits(sample))
+		return
+	}
+	v.Store(math.Float64bits(old + (sample-old)*sharedGain))
+}
