--- a/pkg/transport/report.go
+++ b/pkg/transport/report.go
@@ -5,13 +5,9 @@
 	"strconv"
 	"strings"
 	"time"
-)
 
-// Report is what a backend server says about its own load.
-type Report struct {
-	Inflight, Queued, Slots int32
-	Latency                 time.Duration
-}
+	"lentilpin/pkg/routing"
+)
 
 const (
 	maxReportBytes = 1024
@@ -25,11 +21,11 @@
 // such a report, a known value is negative, not finite or out of range, a known
 // metric appears twice, or the requests in flight are missing: half a report
 // would be taken for an idle backend server.
-func ParseReport(text string) (Report, bool) {
-	var r Report
+func ParseReport(text string) (routing.Report, bool) {
+	var r routing.Report
 	rest, ok := strings.CutPrefix(text, reportPrefix)
 	if !ok || len(text) > maxReportBytes {
-		return Report{}, false
+		return routing.Report{}, false
 	}
 	var seen [4]bool
 	for rest != "" {
@@ -37,7 +33,7 @@
 		field, rest, _ = strings.Cut(rest, ",")
 		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
 		if !ok {
-			return Report{}, false
+			return routing.Report{}, false
 		}
 		name, _ = strings.CutPrefix(name, metricPrefix)
 		var index int
@@ -57,12 +53,12 @@
 			continue
 		}
 		if !ok || seen[index] {
-			return Report{}, false
+			return routing.Report{}, false
 		}
 		seen[index] = true
 	}
 	if !seen[0] {
-		return Report{}, false
+		return routing.Report{}, false
 	}
 	return r, true
 }
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/routing"
 )
 
 // Errors of an exchange, found with errors.Is.
@@ -36,7 +38,7 @@
 
 // Signals is what a response says about its backend server.
 type Signals struct {
-	Report    Report
+	Report    routing.Report
 	HasReport bool
 	Draining  bool // the backend server is leaving
 	Shed      bool // stated on a 503: shed before running, the request was not run
