--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -57,6 +57,9 @@
 	c.poll = func(fd uintptr) {
 		c.pollSet[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
 		n, err := unix.Poll(c.pollSet[:], 0)
+		for err == unix.EINTR { // the runtime preempts with signals
+			n, err = unix.Poll(c.pollSet[:], 0)
+		}
 		c.readable = n != 0 || err != nil
 	}
 	return c
--- /dev/null
+++ b/pkg/transport/resend_test.go
@@ -0,0 +1,76 @@
+package transport_test
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/pkg/transport"
+)
+
+const order = `{"item":"briquettes","sacks":4}`
+
+// closesAfterSecond answers the first request of the first connection, reads
+// the second one whole and closes. It counts the orders that it has read.
+func closesAfterSecond(t *testing.T) (*server, *atomic.Int32) {
+	var orders atomic.Int32
+	s := serve(t, func(c net.Conn, connection int) {
+		n := 0
+		requests(c, func(r *http.Request, _ []byte) bool {
+			n++
+			if r.Method == http.MethodPost {
+				orders.Add(1)
+			}
+			if connection == 1 && n == 2 {
+				return false
+			}
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return err == nil
+		})
+	})
+	return s, &orders
+}
+
+// Documents the hazard that the package exists for: http.Transport sends an
+// order twice. If this fails, http.Transport has changed and the decision in
+// docs/decisions/transport.md should be looked at again.
+func TestHTTPTransportResendsAnOrder(t *testing.T) {
+	s, orders := closesAfterSecond(t)
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	send := func(method string, body io.Reader) {
+		r, err := http.NewRequestWithContext(timeout(t, patience), method, "http://"+s.address()+"/tilaus/1", body)
+		require.NoError(t, err)
+		r.Header.Set("Idempotency-Key", "k1")
+		resp, err := tr.RoundTrip(r)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	send(http.MethodGet, nil)
+	send(http.MethodPost, bytes.NewReader([]byte(order)))
+	require.EqualValues(t, 2, orders.Load())
+}
+
+// Guards against an order that is sent twice when a reused connection closes
+// after it was read.
+func TestPoolSendsAnOrderOnce(t *testing.T) {
+	s, orders := closesAfterSecond(t)
+	p := newPool(t, nil, transport.Options{})
+	_, _, err := fetch(timeout(t, patience), p, s.address(), get("/tilaus/1"))
+	require.NoError(t, err)
+	r := post("/tilaus/1", []byte(order))
+	r.Header = http.Header{"Idempotency-Key": {"k1"}}
+	_, f := p.Do(timeout(t, patience), s.address(), r)
+	require.NotNil(t, f)
+	require.Equal(t, transport.Read, f.Kind)
+	require.False(t, f.NotRun, "the backend server has read the order")
+	require.EqualValues(t, 1, orders.Load())
+	require.Equal(t, 1, s.connections(), "the order must have used the reused connection")
+}
--- /dev/null
+++ b/pkg/transport/response_test.go
@@ -0,0 +1,232 @@
+package transport_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/transport"
+)
+
+// once answers the first request of each connection with the given bytes and
+// then closes it, or leaves it open.
+func once(t *testing.T, raw string, open bool) *server {
+	return serve(t, func(c net.Conn, _ int) {
+		requests(c, func(*http.Request, []byte) bool {
+			_, err := io.WriteString(c, raw)
+			return open && err == nil
+		})
+	})
+}
+
+// Guards against a response cut short that is taken for a whole one, at every
+// byte, with the connection closed and with it reset.
+func TestResponseCutAtEveryByte(t *testing.T) {
+	tests := []struct{ desc, raw, body string }{
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nstock: 4 700", "stock: 4 700"},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nstock\r\n3;x=y\r\n: 4\r\n0\r\n\r\n", "stock: 4"},
+		{"trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n5\r\nstock\r\n0\r\nSum: 9\r\n\r\n", "stock"},
+		{"interim", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 2\r\n\r\nno", "no"},
+		{"no body", "HTTP/1.1 204 No Content\r\nX-A: 1\r\n\r\n", ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			s := serve(t, func(c net.Conn, _ int) {
+				requests(c, func(r *http.Request, _ []byte) bool {
+					var cut int
+					var how string
+					_, _ = fmt.Sscanf(r.URL.Path, "/%d/%s", &cut, &how)
+					_, _ = io.WriteString(c, tc.raw[:cut])
+					if how == "reset" {
+						reset(c)
+					}
+					return false
+				})
+			})
+			p := newPool(t, nil, transport.Options{})
+			for cut := range len(tc.raw) + 1 {
+				for _, how := range []string{"close", "reset"} {
+					_, body, err := fetch(timeout(t, patience), p, s.address(), get(fmt.Sprintf("/%d/%s", cut, how)))
+					if cut < len(tc.raw) {
+						require.Error(t, err, "%s after %d of %d bytes gave %q as whole", how, cut, len(tc.raw), body)
+					} else if how == "close" {
+						require.NoError(t, err)
+						require.Equal(t, tc.body, string(body))
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a shortened body whose error does not say so.
+func TestTruncatedBodyIsNamed(t *testing.T) {
+	s := once(t, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nstock", false)
+	rec := &recorder{}
+	p := newPool(t, nil, transport.Options{Recorder: rec})
+	resp, body, err := fetch(timeout(t, patience), p, s.address(), get("/"))
+	require.ErrorIs(t, err, transport.ErrTruncated)
+	require.Equal(t, "stock", string(body))
+	require.Equal(t, 1, rec.seen(5003))
+	_, again := resp.Body.Read(make([]byte, 1))
+	require.ErrorIs(t, again, transport.ErrTruncated, "a later Read must not return io.EOF")
+}
+
+// Guards against wrong framing, fields that must not be passed on, and a
+// connection that is reused where it may not be, or not reused where it may.
+func TestResponses(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	tests := []struct {
+		desc    string
+		method  string
+		raw     string
+		err     error
+		kind    transport.FailureKind
+		reused  bool
+		body    string
+		trailer http.Header
+		header  http.Header
+		signals transport.Signals
+	}{
+		{desc: "length", raw: ok + "X-A: 1\r\n\r\nok", reused: true, body: "ok",
+			header: http.Header{"X-A": {"1"}, "Content-Length": {"2"}}},
+		{desc: "head", method: "HEAD", raw: ok + "\r\n", reused: true, header: http.Header{"Content-Length": {"2"}}},
+		{desc: "not modified", raw: "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n", reused: true,
+			header: http.Header{"Content-Length": {"9"}}},
+		{desc: "no content", raw: "HTTP/1.1 204 No Content\r\n\r\n", reused: true},
+		{desc: "interim", raw: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + ok + "\r\nok", reused: true, body: "ok",
+			header: http.Header{"Content-Length": {"2"}}},
+		{desc: "too many interim", raw: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9) + ok + "\r\nok", kind: transport.Malformed},
+		{desc: "protocol switch", raw: "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", kind: transport.Malformed},
+		{desc: "connection close", raw: ok + "Connection: close\r\n\r\nok", body: "ok", header: http.Header{"Content-Length": {"2"}}},
+		{desc: "old version", raw: "HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", body: "ok", header: http.Header{"Content-Length": {"2"}}},
+		{desc: "trailer", raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSum: 9\r\n\r\n",
+			reused: true, body: "ok", trailer: http.Header{"Sum": {"9"}}},
+		{desc: "hop by hop", raw: ok + "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nUpgrade: h2c\r\nX-End: 1\r\n\r\nok",
+			reused: true, body: "ok", header: http.Header{"Content-Length": {"2"}, "X-End": {"1"}}},
+		{desc: "signals", raw: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nBackend-Shed: not-run\r\nBackend-State: draining\r\n" +
+			"endpoint-load-metrics: TEXT named_metrics.inflight=4,cpu=0.5\r\n\r\n", reused: true,
+			header:  http.Header{"Content-Length": {"0"}},
+			signals: transport.Signals{HasReport: true, Draining: true, Shed: true}},
+		{desc: "shed on success", raw: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBackend-Shed: not-run\r\n\r\n", reused: true,
+			header: http.Header{"Content-Length": {"0"}}},
+		{desc: "own identifier", raw: ok + "Lentilpin-Request-Id: a-1\r\n\r\nok", reused: true, body: "ok",
+			header: http.Header{"Content-Length": {"2"}, "Lentilpin-Request-Id": {"a-1"}}},
+		{desc: "identifier of another request", raw: ok + "Lentilpin-Request-Id: a-2\r\n\r\nok", err: transport.ErrMismatch, kind: transport.Malformed},
+		{desc: "ends with the connection", raw: "HTTP/1.1 200 OK\r\n\r\nok", err: transport.ErrUnframed, kind: transport.Malformed},
+		{desc: "two lengths", raw: ok + "Content-Length: 3\r\n\r\nok", kind: transport.Malformed},
+		{desc: "large head", raw: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 128<<10), err: transport.ErrTooLarge, kind: transport.Malformed},
+		{desc: "large body", raw: "HTTP/1.1 200 OK\r\nContent-Length: 268435457\r\n\r\n", err: transport.ErrTooLarge, kind: transport.Malformed},
+		{desc: "not HTTP", raw: "SSH-2.0-x\r\n\r\n", kind: transport.Malformed},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			s := once(t, tc.raw, true)
+			p := newPool(t, nil, transport.Options{})
+			for range 2 {
+				r := get("/")
+				r.Header = http.Header{"Lentilpin-Request-Id": {"a-1"}}
+				if tc.method != "" {
+					r.Method = tc.method
+				}
+				resp, body, err := fetch(timeout(t, patience), p, s.address(), r)
+				if tc.kind != 0 {
+					var f *transport.Failure
+					require.ErrorAs(t, err, &f)
+					require.Equal(t, tc.kind, f.Kind)
+					require.False(t, f.NotRun)
+					if tc.err != nil {
+						require.ErrorIs(t, err, tc.err)
+					}
+					continue
+				}
+				require.NoError(t, err)
+				require.Equal(t, tc.body, string(body))
+				require.Equal(t, len(tc.header), len(resp.Header), "%v", resp.Header)
+				for name, values := range tc.header {
+					require.Equal(t, values, resp.Header[name])
+				}
+				require.Equal(t, len(tc.trailer), len(resp.Trailer))
+				require.Equal(t, tc.trailer.Get("Sum"), resp.Trailer.Get("Sum"))
+				tc.signals.Report = resp.Signals.Report
+				require.Equal(t, tc.signals, resp.Signals)
+				if tc.signals.HasReport {
+					require.EqualValues(t, 4, resp.Signals.Report.Inflight)
+				}
+			}
+			want := 2
+			if tc.reused {
+				want = 1
+			}
+			require.Equal(t, want, s.connections())
+		})
+	}
+}
+
+// Guards against fields of the caller's connection, a caller's deadline and
+// framing of its own choice reaching a backend server, and against a request
+// that is changed by sending it.
+func TestRequestAsWritten(t *testing.T) {
+	var got *http.Request
+	var gotBody []byte
+	s := serve(t, func(c net.Conn, _ int) {
+		requests(c, func(r *http.Request, body []byte) bool {
+			got, gotBody = r, body
+			_, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+			return err == nil
+		})
+	})
+	p := newPool(t, nil, transport.Options{})
+	for _, target := range []string{"/tilaus/1?x=%20y", "//tilaus//1?x=1"} {
+		r := post(target, []byte(order))
+		r.Header = http.Header{
+			"Connection": {"keep-alive, X-Hop"}, "X-Hop": {"1"}, "Te": {"trailers"}, "Transfer-Encoding": {"chunked"},
+			"Content-Length": {"7"}, "Expect": {"100-continue"}, "Request-Timeout": {"999999"}, "X-End": {"a", "b"},
+			"X-Split": {"a\r\nEvil: 1"},
+		}
+		before := r.Header.Clone()
+		_, _, err := fetch(timeout(t, patience), p, s.address(), r)
+		require.NoError(t, err)
+		require.Equal(t, before, r.Header)
+		require.Equal(t, order, string(gotBody))
+		require.Equal(t, target, got.RequestURI)
+		require.Equal(t, "varasto", got.Host)
+		require.Equal(t, []string{"a", "b"}, got.Header["X-End"])
+		require.Len(t, got.Header, 4, "%v", got.Header) // X-End, X-Split, Content-Length, Request-Timeout
+		require.LessOrEqual(t, len(got.Header.Get("Request-Timeout")), 5)
+	}
+}
+
+// Guards against requests that would be read as something else, or are too
+// large; all of them are proven not run.
+func TestRefusedRequests(t *testing.T) {
+	s := once(t, "HTTP/1.1 204 No Content\r\n\r\n", true)
+	p := newPool(t, func(s *dynamic.Service) { s.MaxBodyBytes = 8 }, transport.Options{})
+	tests := []struct {
+		desc   string
+		change func(*transport.Request)
+	}{
+		{"space in the target", func(r *transport.Request) { r.Target = "/a HTTP/1.1" }},
+		{"line break in the target", func(r *transport.Request) { r.Target = "/a\r\nX: 1" }},
+		{"absolute target", func(r *transport.Request) { r.Target = "http://other/" }},
+		{"no target", func(r *transport.Request) { r.Target = "" }},
+		{"line break in the method", func(r *transport.Request) { r.Method = "GET / HTTP/1.1\r\nX:" }},
+		{"large body", func(r *transport.Request) { r.Body = make([]byte, 9) }},
+		{"large head", func(r *transport.Request) { r.Header = http.Header{"X": {strings.Repeat("a", 64<<10)}} }},
+	}
+	for _, tc := range tests {
+		r := get("/")
+		tc.change(r)
+		_, f := p.Do(timeout(t, patience), s.address(), r)
+		require.NotNil(t, f, tc.desc)
+		require.True(t, f.NotRun, tc.desc)
+		require.Equal(t, transport.Malformed, f.Kind, tc.desc)
+	}
+	require.Zero(t, s.connections())
+}
--- /dev/null
+++ b/standin/backend/backend_test.go
@@ -0,0 +1,251 @@
+package backend_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lentilpin/pkg/load/payload"
+	"lentilpin/standin/backend"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, c backend.Config) (*backend.Server, *http.Client) {
+	c.Listen = "127.0.0.1:0"
+	s, err := backend.Start(c)
+	require.NoError(t, err)
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(func() {
+		client.CloseIdleConnections()
+		s.Close()
+	})
+	return s, client
+}
+
+func send(t *testing.T, client *http.Client, method, url string, h http.Header) (*http.Response, []byte, error) {
+	r, err := http.NewRequestWithContext(context.Background(), method, url, nil)
+	require.NoError(t, err)
+	for name, values := range h {
+		r.Header[name] = values
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// Guards against a stand-in that cannot tell apart what the proofs of the
+// system rest on: whose body it is, how often an order ran, what was shed.
+func TestReadsAndOrders(t *testing.T) {
+	s, client := start(t, backend.Config{ServiceTime: "const:0", BodyBytes: 1000})
+	base := "http://" + s.Address()
+	resp, body, err := send(t, client, http.MethodGet, base+"/varasto/1", http.Header{"X-Request-Token": {"t1"}, "Lentilpin-Request-Id": {"a-1"}})
+	require.NoError(t, err)
+	name, err := payload.Check(body, "t1")
+	require.NoError(t, err)
+	require.Equal(t, s.Name(), name)
+	require.Equal(t, "a-1", resp.Header.Get("Lentilpin-Request-Id"))
+	require.Contains(t, resp.Header.Get("endpoint-load-metrics"), "named_metrics.slots=6")
+	for range 2 {
+		_, _, err := send(t, client, http.MethodPost, base+"/tilaus/1", http.Header{"X-Order-Id": {"o1"}})
+		require.NoError(t, err)
+	}
+	require.Equal(t, map[string]int{"o1": 2}, s.Runs())
+	require.EqualValues(t, 1, s.Stats().Repeated)
+	resp, body, err = send(t, client, http.MethodGet, base+"/load", nil)
+	require.NoError(t, err)
+	var load backend.Load
+	require.NoError(t, json.Unmarshal(body, &load))
+	require.Equal(t, 6, load.Slots)
+	require.NotEmpty(t, resp.Header.Get("endpoint-load-metrics"))
+}
+
+// Guards against an order that runs although the stand-in stated that it did
+// not: with one slot taken and one place in the queue, the third is shed, and
+// so is one whose deadline passes in the queue.
+func TestShedding(t *testing.T) {
+	s, client := start(t, backend.Config{Slots: 1, Queue: 1, ServiceTime: "const:0"})
+	s.SetFaults(backend.Faults{SlowAddMS: 300})
+	base := "http://" + s.Address()
+	status := func(h http.Header) (int, string) {
+		resp, _, err := send(t, client, http.MethodPost, base+"/tilaus/x", h)
+		require.NoError(t, err)
+		return resp.StatusCode, resp.Header.Get("Backend-Shed")
+	}
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		_, shed := status(http.Header{"X-Order-Id": {"first"}})
+		require.Empty(t, shed)
+	}()
+	for s.Stats().Orders == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	go func() {
+		defer wg.Done()
+		code, shed := status(http.Header{"X-Order-Id": {"expires"}, "Request-Timeout": {"100"}})
+		require.Equal(t, http.StatusServiceUnavailable, code)
+		require.Equal(t, "not-run", shed)
+	}()
+	for s.Stats().Requests < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	for {
+		_, body, err := send(t, client, http.MethodGet, base+"/load", nil)
+		require.NoError(t, err)
+		if strings.Contains(string(body), `"queued":1`) {
+			break
+		}
+	}
+	code, shed := status(http.Header{"X-Order-Id": {"third"}})
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	require.Equal(t, "not-run", shed)
+	wg.Wait()
+	require.Equal(t, map[string]int{"first": 1}, s.Runs())
+}
+
+// Guards against faults that do not do what tests rely on.
+func TestFaults(t *testing.T) {
+	s, client := start(t, backend.Config{ServiceTime: "const:0"})
+	base := "http://" + s.Address()
+	order := http.Header{"X-Order-Id": {"o"}}
+	tests := []struct {
+		desc   string
+		faults backend.Faults
+		runs   int
+		status int // 0: no whole response
+	}{
+		{"healthy", backend.Faults{}, 1, 200},
+		{"fails fast", backend.Faults{FailRatio: 1}, 0, 500},
+		{"closes after reading", backend.Faults{CloseAfterRead: true}, 0, 0},
+		{"closes after running", backend.Faults{CloseAfterRun: true}, 1, 0},
+		{"cuts short", backend.Faults{Truncate: true, TruncateBytes: 5}, 1, 0},
+		{"cuts everything", backend.Faults{Truncate: true}, 1, 0},
+		{"late bytes", backend.Faults{LateBytes: true}, 1, 200},
+	}
+	runs := 0
+	for _, tc := range tests {
+		s.SetFaults(tc.faults)
+		resp, _, err := send(t, client, http.MethodPost, base+"/tilaus/o", order)
+		require.Equal(t, tc.status == 0, err != nil, tc.desc)
+		if err == nil {
+			require.Equal(t, tc.status, resp.StatusCode, tc.desc)
+		}
+		runs += tc.runs
+		require.Equal(t, runs, s.Runs()["o"], tc.desc)
+	}
+	s.SetFaults(backend.Faults{Drain: true, Health: 200, Load: &backend.Load{Inflight: 77}})
+	resp, body, err := send(t, client, http.MethodGet, base+"/health", nil)
+	require.NoError(t, err)
+	require.Empty(t, body)
+	require.Equal(t, 200, resp.StatusCode)
+	require.Equal(t, "draining", resp.Header.Get("Backend-State"))
+	require.Contains(t, resp.Header.Get("endpoint-load-metrics"), "inflight=77")
+}
+
+// Guards against a crash that leaves connections open, does not refuse new
+// ones, or never ends, and against silence that ends a connection.
+func TestCrashAndSilence(t *testing.T) {
+	s, client := start(t, backend.Config{ServiceTime: "const:0"})
+	base := "http://" + s.Address()
+	s.SetFaults(backend.Faults{CrashOn: "poison", RefuseMS: 50})
+	other, err := net.Dial("tcp", s.Address())
+	require.NoError(t, err)
+	defer other.Close()
+	for s.Stats().Connections == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, _, err = send(t, client, http.MethodGet, base+"/varasto/poison", nil)
+	require.Error(t, err)
+	_, err = other.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.EqualValues(t, 1, s.Stats().Crashes)
+	for err != nil {
+		time.Sleep(10 * time.Millisecond)
+		_, _, err = send(t, client, http.MethodGet, base+"/varasto/1", nil)
+	}
+
+	s.Silence()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/varasto/1", nil)
+	require.NoError(t, err)
+	_, err = client.Do(r)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	_, _, err = send(t, client, http.MethodGet, base+"/varasto/1", nil)
+	require.NoError(t, err)
+}
+
+// Guards against an admin path that is missing or reaches the wrong server, and
+// a business path that sets faults.
+func TestAdmin(t *testing.T) {
+	a, client := start(t, backend.Config{Name: "a", ServiceTime: "const:0"})
+	b, _ := start(t, backend.Config{Name: "b", ServiceTime: "const:0"})
+	admin := httptest.NewServer(backend.Admin([]*backend.Server{a, b}))
+	defer admin.Close()
+	call := func(method, path, body string) (int, string) {
+		r, err := http.NewRequestWithContext(context.Background(), method, admin.URL+path, strings.NewReader(body))
+		require.NoError(t, err)
+		r.Header.Set("Content-Type", "application/json")
+		resp, err := client.Do(r)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		return resp.StatusCode, string(text)
+	}
+	code, _ := call(http.MethodPut, "/backends/b/faults", `{"drain": true}`)
+	require.Equal(t, http.StatusNoContent, code)
+	require.False(t, a.Faults().Drain)
+	require.True(t, b.Faults().Drain)
+	code, _ = call(http.MethodDelete, "/backends/*/faults", "")
+	require.Equal(t, http.StatusNoContent, code)
+	require.False(t, b.Faults().Drain)
+	code, _ = call(http.MethodPost, "/backends/c/crash", "")
+	require.Equal(t, http.StatusNotFound, code)
+	for _, s := range []*backend.Server{a, b} {
+		_, _, err := send(t, client, http.MethodPost, "http://"+s.Address()+"/backends/a/crash", http.Header{"X-Order-Id": {"o"}})
+		require.NoError(t, err)
+	}
+	require.Zero(t, a.Stats().Crashes)
+	_, text := call(http.MethodGet, "/runs", "")
+	require.JSONEq(t, `{"orders": 1, "runs": {"o": 2}, "repeated": {"o": 2}}`, text)
+	_, text = call(http.MethodGet, "/backends", "")
+	require.Contains(t, text, `"name":"b"`)
+}
+
+// Guards against service times that differ from run to run or never end.
+func TestDistributions(t *testing.T) {
+	for _, text := range []string{"const:5", "uniform:1:9", "exp:5", "lognormal:5:2"} {
+		a, err := backend.ParseDistribution(text, 7)
+		require.NoError(t, err)
+		b, err := backend.ParseDistribution(text, 7)
+		require.NoError(t, err)
+		for range 100 {
+			v := a.Sample()
+			require.Equal(t, v, b.Sample(), text)
+			require.True(t, v >= 0 && v <= 10*time.Second, text)
+		}
+	}
+	for _, text := range []string{"", "exp", "exp:-1", "exp:NaN", "uniform:5:1", "pareto:1"} {
+		_, err := backend.ParseDistribution(text, 1)
+		require.Error(t, err, text)
+	}
+	_, err := backend.Start(backend.Config{Listen: "0.0.0.0:0"})
+	require.ErrorContains(t, err, "loopback")
+}
