--- /dev/null
+++ b/pkg/quarantine/list.go
@@ -0,0 +1,282 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+)
+
+const (
+	incidentGap    = 2 * time.Second        // failures further apart are separate incidents
+	incidentOnset  = 200 * time.Millisecond // breaks this early in an incident may have caused it
+	minServers     = 2                      // backend servers needed for a quarantine, whatever the settings say
+	maxOnset       = 16                     // fingerprints kept per incident; an entry has 6 connections to a server by default
+	maxIncidents   = 1024
+	maxBlamed      = 4096
+	maxQuarantined = 1024
+)
+
+// Sources of an entry.
+const (
+	SourceOwn  = "own"
+	SourcePeer = "peer"
+)
+
+// Entry is a fingerprint in quarantine.
+type Entry struct {
+	Fingerprint uint64
+	Remaining   time.Duration
+	Source      string
+	Addresses   []string // backend servers on which it was blamed; empty if a peer reported it
+}
+
+type quarantined struct {
+	until     time.Duration
+	source    string
+	addresses []string
+}
+
+type incident struct {
+	start, last time.Duration
+	onset       [maxOnset]uint64 // fingerprints that broke early
+	count       int
+	first       uint64 // the first fingerprint, to tell it from others
+	broke       bool   // first is set
+	confirmed   bool   // something else failed as well
+}
+
+type blame struct {
+	address string
+	at      time.Duration
+}
+
+// List holds the requests of one service that crash backend servers.
+type List struct {
+	rec    events.Recorder
+	active atomic.Int32 // quarantined fingerprints
+	blames atomic.Int32 // blamed fingerprints
+
+	mu        sync.RWMutex
+	settings  dynamic.Quarantine
+	held      map[uint64]quarantined
+	blamed    map[uint64][]blame
+	incidents map[string]*incident
+}
+
+// New returns an empty list.
+func New(settings *dynamic.Service, rec events.Recorder) *List {
+	return &List{
+		rec: rec, settings: settings.Quarantine,
+		held: map[uint64]quarantined{}, blamed: map[uint64][]blame{}, incidents: map[string]*incident{},
+	}
+}
+
+// Configure puts new settings in force. Quarantines that run keep their ends.
+func (l *List) Configure(settings *dynamic.Service) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.settings = settings.Quarantine
+}
+
+// Fingerprint identifies a request. The parts are separated so that no two
+// different requests have the same input.
+func Fingerprint(method, target string, body []byte) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	// Writes to a digest do not fail.
+	_, _ = h.WriteString(method)
+	_, _ = h.WriteString("\n")
+	_, _ = h.WriteString(target)
+	_, _ = h.WriteString("\n")
+	_, _ = h.Write(body)
+	return h.Sum64()
+}
+
+// Blocked reports whether requests with this fingerprint are refused.
+func (l *List) Blocked(now time.Duration, fp uint64) bool {
+	if l.active.Load() == 0 {
+		return false
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	q, ok := l.held[fp]
+	return ok && now < q.until
+}
+
+// Broken counts an attempt that ended with a broken connection after at least
+// one byte of the request was written.
+func (l *List) Broken(now time.Duration, fp uint64, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in := l.incident(now, address)
+	if !in.broke {
+		in.broke, in.first = true, fp
+	} else if fp != in.first {
+		in.confirmed = true
+	}
+	if now-in.start <= incidentOnset && in.count < maxOnset && !slices.Contains(in.onset[:in.count], fp) {
+		in.onset[in.count] = fp
+		in.count++
+	}
+	l.settle(now, address, in)
+}
+
+// Failed counts a failure of a backend server that no single request explains: a
+// refused connection.
+func (l *List) Failed(now time.Duration, address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	in := l.incident(now, address)
+	in.confirmed = true
+	l.settle(now, address, in)
+}
+
+// Ran counts a response that proves that a request ran without crashing the
+// backend server; it removes the blame of the fingerprint. A quarantine that
+// runs stays: the response may belong to an attempt that began before it.
+func (l *List) Ran(fp uint64) {
+	if l.blames.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.blamed, fp)
+	l.blames.Store(int32(len(l.blamed)))
+}
+
+// Merge takes a quarantine that a peer reported. It lasts no longer than one
+// found here would.
+func (l *List) Merge(now time.Duration, fp uint64, remaining time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := now + min(remaining, dynamic.MS(l.settings.DurationMS))
+	if until <= now || until <= l.held[fp].until {
+		return
+	}
+	if q, ok := l.held[fp]; ok && now < q.until {
+		q.until = until
+		l.held[fp] = q
+		return
+	}
+	l.hold(now, fp, quarantined{until: until, source: SourcePeer})
+	l.rec.Record(eventMerged, events.F("fingerprint", fp), events.F("for_ms", (until-now).Milliseconds()))
+}
+
+// Active returns the quarantines in force in the order of fingerprints and
+// forgets the ones that are over. It is called at least once a second.
+func (l *List) Active(now time.Duration) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.expire(now)
+	out := make([]Entry, 0, len(l.held))
+	for fp, q := range l.held {
+		out = append(out, Entry{Fingerprint: fp, Remaining: q.until - now, Source: q.source, Addresses: q.addresses})
+	}
+	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out
+}
+
+// incident returns the incident that a failure at now belongs to.
+func (l *List) incident(now time.Duration, address string) *incident {
+	in := l.incidents[address]
+	if in == nil {
+		if len(l.incidents) >= maxIncidents {
+			l.dropIncident()
+		}
+		in = &incident{start: now}
+		l.incidents[address] = in
+	} else if now-in.last >= incidentGap {
+		*in = incident{start: now}
+	}
+	in.last = max(in.last, now)
+	return in
+}
+
+func (l *List) dropIncident() {
+	oldest := ""
+	for a, in := range l.incidents {
+		if o := l.incidents[oldest]; o == nil || in.last < o.last || in.last == o.last && a < oldest {
+			oldest = a
+		}
+	}
+	delete(l.incidents, oldest)
+}
+
+// settle blames the fingerprints of a confirmed incident.
+func (l *List) settle(now time.Duration, address string, in *incident) {
+	if !in.confirmed {
+		return
+	}
+	for _, fp := range in.onset[:in.count] {
+		l.blame(now, fp, address)
+	}
+	in.count = 0
+}
+
+func (l *List) blame(now time.Duration, fp uint64, address string) {
+	oldest := now - dynamic.MS(l.settings.DurationMS)
+	blames := slices.DeleteFunc(l.blamed[fp], func(b blame) bool { return b.address == address || b.at <= oldest })
+	blames = append(blames, blame{address, now})
+	if len(blames) < max(minServers, l.settings.Breaks) {
+		if _, known := l.blamed[fp]; !known && len(l.blamed) >= maxBlamed {
+			l.dropBlamed()
+		}
+		l.blamed[fp] = blames
+		l.blames.Store(int32(len(l.blamed)))
+		return
+	}
+	delete(l.blamed, fp)
+	l.blames.Store(int32(len(l.blamed)))
+	addresses := make([]string, len(blames))
+	for i, b := range blames {
+		addresses[i] = b.address
+	}
+	duration := dynamic.MS(l.settings.DurationMS)
+	l.hold(now, fp, quarantined{until: now + duration, source: SourceOwn, addresses: addresses})
+	l.rec.Record(eventQuarantined, events.F("fingerprint", fp), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
+}
+
+func (l *List) dropBlamed() {
+	var oldest uint64
+	at := time.Duration(1<<63 - 1)
+	for fp, b := range l.blamed {
+		if last := b[len(b)-1].at; last < at || last == at && fp < oldest {
+			oldest, at = fp, last
+		}
+	}
+	delete(l.blamed, oldest)
+}
+
+func (l *List) hold(now time.Duration, fp uint64, q quarantined) {
+	l.expire(now)
+	if _, known := l.held[fp]; !known && len(l.held) >= maxQuarantined {
+		var first uint64
+		until := time.Duration(1<<63 - 1)
+		for f, h := range l.held {
+			if h.until < until || h.until == until && f < first {
+				first, until = f, h.until
+			}
+		}
+		delete(l.held, first)
+		l.rec.Record(eventEvicted, events.F("fingerprint", first))
+	}
+	l.held[fp] = q
+	l.active.Store(int32(len(l.held)))
+}
+
+func (l *List) expire(now time.Duration) {
+	for fp, q := range l.held {
+		if now >= q.until {
+			delete(l.held, fp)
+			l.rec.Record(eventReleased, events.F("fingerprint", fp))
+		}
+	}
+	l.active.Store(int32(len(l.held)))
+}
--- /dev/null
+++ b/pkg/retry/budget.go
@@ -0,0 +1,107 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"lentilpin/pkg/events"
+)
+
+// Burst is the number of extra attempts that the bucket holds at most, unless
+// the constant rate is higher. It covers the connections that one entry has open
+// to one backend server (6 by default), which may all break at once.
+const Burst = 10
+
+// Budget bounds the extra attempts of one service at this instance.
+type Budget struct {
+	mu        sync.Mutex
+	ratio     float64
+	perSecond float64
+	tokens    float64
+	last      time.Duration
+	refused   uint64
+	reported  uint64
+	exhausted bool
+}
+
+// NewBudget returns a budget of ratio extra attempts per first attempt (setting
+// retry.budgetRatio, default 0.1) and minPerSecond besides (retry.minPerSecond,
+// default 1). It starts with one second of the constant rate.
+func NewBudget(ratio, minPerSecond float64) *Budget {
+	b := &Budget{}
+	b.Configure(ratio, minPerSecond)
+	b.tokens = minPerSecond
+	return b
+}
+
+// Configure changes the budget. What the bucket holds is kept up to the bound.
+func (b *Budget) Configure(ratio, minPerSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.perSecond = ratio, minPerSecond
+	b.add(0)
+}
+
+// Capacity returns the most extra attempts that can be taken at one moment.
+func (b *Budget) Capacity() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(Burst, b.perSecond)
+}
+
+// Request counts one first attempt.
+func (b *Budget) Request(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.add(b.ratio)
+}
+
+// Take reports whether one retry or hedge may be sent, and counts it.
+func (b *Budget) Take(now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	if b.tokens < 1 {
+		b.refused++
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Refused returns how many extra attempts were refused since the start.
+func (b *Budget) Refused() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refused
+}
+
+// Report records an event when the budget has begun or ceased to refuse since
+// the last call. The gateway calls it about once a second.
+func (b *Budget) Report(rec events.Recorder, service string) {
+	b.mu.Lock()
+	count := b.refused - b.reported
+	b.reported = b.refused
+	changed := (count > 0) != b.exhausted
+	b.exhausted = count > 0
+	b.mu.Unlock()
+	switch {
+	case changed && count > 0:
+		rec.Record(eventExhausted, events.F("service", service), events.F("refused", count))
+	case changed:
+		rec.Record(eventRecovered, events.F("service", service))
+	}
+}
+
+// refill adds the constant rate. A time before the last one adds nothing.
+func (b *Budget) refill(now time.Duration) {
+	if elapsed := now - b.last; elapsed > 0 {
+		b.last = now
+		b.add(elapsed.Seconds() * b.perSecond)
+	}
+}
+
+func (b *Budget) add(tokens float64) {
+	b.tokens = min(b.tokens+tokens, max(Burst, b.perSecond))
+}
