--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -58,6 +58,7 @@
 	sources  [shards]source
 	list     atomic.Pointer[server.List]
 	settings atomic.Pointer[state]
+	requests atomic.Uint64 // counted only for a policy with probes per request
 
 	mu     sync.Mutex // serialises Update and Configure
 	byAddr atomic.Pointer[map[string]*Server]
@@ -199,9 +200,12 @@
 func (s *Set) Pick(now time.Duration, exclude []*Server) *Server {
 	src := s.lockSource()
 	defer src.mu.Unlock()
-	l, policy := s.list.Load(), s.settings.Load().policy
+	l, st := s.list.Load(), s.settings.Load()
+	if st.listener != nil {
+		s.requests.Add(1)
+	}
 	for range attempts {
-		x := policy.Choose(now, l, src.rand, exclude)
+		x := st.policy.Choose(now, l, src.rand, exclude)
 		if x == nil {
 			return nil
 		}
@@ -244,6 +248,9 @@
 	return 0
 }
 
+// Requests returns the calls of Pick under a policy with probes per request.
+func (s *Set) Requests() uint64 { return s.requests.Load() }
+
 // Probed takes the load report in the reply to a probe.
 func (s *Set) Probed(now time.Duration, x *Server, r Report) {
 	x.Observe(now, r, 0)
