--- /dev/null
+++ b/pkg/membership/message.go
@@ -0,0 +1,143 @@
+package membership
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lentilpin/pkg/peer/peerpb"
+)
+
+// Sizes of an exchange.
+const (
+	maxExchangeBytes = 64<<10 - 1024 // the limit of the call with room for its framing
+	minExchangeBytes = 512           // header and own record, always allowed
+	fieldBytes       = 4             // tag and length of one element
+)
+
+// Source is what the gateway shares with other entries. Ages are relative to
+// the moment of the call. Its methods must not call the Table.
+type Source interface {
+	Drains() []*peerpb.DrainMark
+	Quarantines() []*peerpb.Quarantine
+	// Reports returns own fresh load reports. They are sent within the failure
+	// domain only, since bytes between failure domains cost more and a report
+	// is stale soon.
+	Reports() []*peerpb.LoadReport
+	// Merge takes what a peer sent. Ages do not include the way of the message.
+	Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine, reports []*peerpb.LoadReport)
+}
+
+// cursors are the positions of the rotation, one per kind.
+type cursors struct{ drains, quarantines, reports, members int }
+
+// take returns elements from the position on until the allowance is used up.
+func take[M proto.Message](items []M, cursor, allowance *int) []M {
+	if len(items) == 0 {
+		return nil
+	}
+	start := *cursor % len(items)
+	var out []M
+	for i := range items {
+		m := items[(start+i)%len(items)]
+		size := proto.Size(m) + fieldBytes
+		if size > *allowance {
+			break
+		}
+		*allowance -= size
+		out = append(out, m)
+	}
+	*cursor = start + len(out)
+	return out
+}
+
+// takeShare is take with a part of the allowance.
+func takeShare[M proto.Message](items []M, cursor, allowance *int, share int) []M {
+	part := *allowance / share
+	left := part
+	out := take(items, cursor, &left)
+	*allowance -= part - left
+	return out
+}
+
+// shared is what the Source gives for one message. It is read before the table
+// is locked.
+type shared struct {
+	drains      []*peerpb.DrainMark
+	quarantines []*peerpb.Quarantine
+	reports     []*peerpb.LoadReport
+}
+
+func (t *Table) readSource(sameDomain bool) shared {
+	if t.o.Source == nil {
+		return shared{}
+	}
+	s := shared{drains: t.o.Source.Drains(), quarantines: t.o.Source.Quarantines()}
+	if sameDomain {
+		s.reports = t.o.Source.Reports()
+	}
+	return s
+}
+
+// compose fills a message. Drain marks and quarantined fingerprints come
+// before the rest, because they keep work away from backend servers.
+func (t *Table) compose(now time.Duration, s shared, small bool) *peerpb.ExchangeRequest {
+	own := t.ownRecord()
+	m := &peerpb.ExchangeRequest{Header: t.header(), Members: []*peerpb.Member{own}}
+	base := proto.Size(m)
+	allowance := t.budget.allowance(now) - base
+	if small {
+		allowance = min(allowance, minExchangeBytes-base)
+	}
+	if allowance > 0 {
+		m.Drains = takeShare(s.drains, &t.cursor.drains, &allowance, 4)
+		m.Quarantines = takeShare(s.quarantines, &t.cursor.quarantines, &allowance, 4)
+		m.Members = append(m.Members, t.freshMembers(now, &allowance)...)
+		m.Reports = takeShare(s.reports, &t.cursor.reports, &allowance, 2)
+		m.Members = append(m.Members, t.rotateMembers(now, &allowance)...)
+	}
+	t.budget.spend(proto.Size(m))
+	return m
+}
+
+// freshMembers returns records that changed beyond their counter.
+func (t *Table) freshMembers(now time.Duration, allowance *int) []*peerpb.Member {
+	var out []*peerpb.Member
+	for _, r := range t.sorted() {
+		size := proto.Size(r.member) + fieldBytes
+		if r.fresh == 0 || !t.sendable(now, r) || size > *allowance {
+			continue
+		}
+		r.fresh--
+		*allowance -= size
+		out = append(out, r.member)
+	}
+	return out
+}
+
+func (t *Table) rotateMembers(now time.Duration, allowance *int) []*peerpb.Member {
+	var items []*peerpb.Member
+	for _, r := range t.sorted() {
+		if r.fresh == 0 && t.sendable(now, r) {
+			items = append(items, r.member)
+		}
+	}
+	return take(items, &t.cursor.members, allowance)
+}
+
+// budget bounds the bytes per second that this instance sends. A message may
+// overdraw it by the smallest size; later messages then carry less.
+type budget struct {
+	rate   float64
+	tokens float64
+	last   time.Duration
+}
+
+func (b *budget) allowance(now time.Duration) int {
+	b.tokens = min(b.rate, b.tokens+(now-b.last).Seconds()*b.rate)
+	b.last = now
+	// A round sends one message and answers about one, so that each gets half.
+	return min(maxExchangeBytes, max(minExchangeBytes, int(b.tokens/2)))
+}
+
+func (b *budget) spend(bytes int) { b.tokens = max(-b.rate, b.tokens-float64(bytes)) }
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -177,5 +177,8 @@
 	if len(body) > maxBytes {
 		return errors.Wrapf(ErrTooLarge, "limit %d bytes", maxBytes)
 	}
-	return errors.Wrap(json.Unmarshal(body, into), "parse reply")
+	if err := json.Unmarshal(body, into); err != nil {
+		return errors.Wrap(err, "parse reply")
+	}
+	return nil
 }
--- /dev/null
+++ b/pkg/platform/client_test.go
@@ -0,0 +1,97 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/platform"
+	standin "lentilpin/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type recorder struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (r *recorder) Record(e *events.Event, _ ...events.Field) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.names = append(r.names, e.Name)
+}
+
+const published = `{"version": 7, "fleet": {"defaults": {}}}`
+
+// Guards against a client that misreads the service over a real connection:
+// bytes that differ from the published ones, a hidden failure, an oversized
+// value that is taken, a list that does not arrive.
+func TestClientReadsTheStandIn(t *testing.T) {
+	s := standin.New(0)
+	server := httptest.NewServer(s.Reader())
+	defer server.Close()
+	rec := &recorder{}
+	c := platform.NewClient(server.URL, 200, rec)
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+
+	require.NoError(t, s.Publish([]byte(published+"\n")))
+	version, text, err := c.WatchTree(ctx, 0)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), version)
+	require.Equal(t, published, string(text))
+	_, _, err = c.ReadTree(ctx, 7)
+	require.ErrorIs(t, err, platform.ErrUnchanged)
+
+	s.SetFaults(standin.Faults{Down: true})
+	_, _, err = c.ReadTree(ctx, 7)
+	require.ErrorContains(t, err, "503")
+	s.SetFaults(standin.Faults{})
+	_, _, err = c.ReadTree(ctx, 7)
+	require.ErrorIs(t, err, platform.ErrUnchanged)
+	require.Equal(t, []string{"platform_unreachable", "platform_reachable"}, rec.names)
+
+	require.NoError(t, s.Publish([]byte(`{"version": 8, "fleet": {"defaults": {"x": "`+strings.Repeat("x", 300)+`"}}}`)))
+	_, _, err = c.ReadTree(ctx, 7)
+	require.ErrorIs(t, err, platform.ErrTooLarge)
+
+	s.SetInstances([]standin.Instance{{Name: "entry-1", Kind: "entry", Address: "127.0.0.1:1", State: "live"}})
+	_, list, err := c.WatchInstances(ctx, 0)
+	require.NoError(t, err)
+	require.Equal(t, platform.KindEntry, list[0].Kind)
+}
+
+// Guards against a stand-in that lets one of two racing operators overwrite
+// the other, or that serves more reads than the real service.
+func TestStandInRefuses(t *testing.T) {
+	s := standin.New(0)
+	admin := s.Admin()
+	put := func(path, body string) int {
+		w := httptest.NewRecorder()
+		admin.ServeHTTP(w, httptest.NewRequest(http.MethodPut, path, strings.NewReader(body)))
+		return w.Code
+	}
+	require.Equal(t, http.StatusNoContent, put("/tree", published))
+	require.Equal(t, http.StatusConflict, put("/tree", published))
+	require.Equal(t, http.StatusConflict, put("/tree", `{"version": 6}`))
+	require.Equal(t, http.StatusNoContent, put("/faults", `{"frozenAt": 6}`))
+	reader := s.Reader()
+	codes := map[int]int{}
+	for range 3 * standin.CallsPerSecond {
+		w := httptest.NewRecorder()
+		reader.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/config/tree?after=0&waitMs=0", nil))
+		codes[w.Code]++
+	}
+	require.Equal(t, codes[http.StatusTooManyRequests], s.Counters().Refused)
+	require.Equal(t, 3*standin.CallsPerSecond, codes[http.StatusTooManyRequests]+codes[http.StatusNotModified])
+}
--- a/pkg/platform/pacer.go
+++ b/pkg/platform/pacer.go
@@ -13,7 +13,7 @@
 const (
 	callsPerSecond = 1
 	callBurst      = 2
-	changeJitter   = time.Second     // delay after a change is drawn from 0 to this
+	changeJitter   = 2 * time.Second // delay of the first call and after a change is drawn from 0 to this
 	backoffBase    = 2 * time.Second // delay after n errors in a row is drawn from 0 to base * 2^(n-1)
 	backoffMax     = 30 * time.Second
 )
@@ -21,6 +21,7 @@
 // pacer decides when the next call of one kind may start.
 type pacer struct {
 	limiter *rate.Limiter
+	random  func(n time.Duration) time.Duration // below n; tests set a seed
 
 	mu       sync.Mutex
 	failures int
@@ -30,7 +31,11 @@
 // newPacer returns a pacer whose first call is delayed as after a change,
 // because a whole fleet may start at the same moment.
 func newPacer() *pacer {
-	p := &pacer{limiter: rate.NewLimiter(callsPerSecond, callBurst)}
+	return newSeededPacer(rand.N[time.Duration])
+}
+
+func newSeededPacer(random func(n time.Duration) time.Duration) *pacer {
+	p := &pacer{limiter: rate.NewLimiter(callsPerSecond, callBurst), random: random}
 	p.changed()
 	return p
 }
@@ -53,7 +58,7 @@
 func (p *pacer) changed() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pause = rand.N(changeJitter)
+	p.pause = p.random(changeJitter)
 }
 
 func (p *pacer) unchanged() {}
@@ -64,7 +69,7 @@
 	defer p.mu.Unlock()
 	limit := min(backoffMax, backoffBase<<min(p.failures, 10))
 	p.failures++
-	p.pause = rand.N(limit)
+	p.pause = p.random(limit)
 	return p.failures == 1
 }
 
--- a/pkg/settings/store.go
+++ b/pkg/settings/store.go
@@ -80,12 +80,12 @@
 	if current != nil && digest == current.Digest {
 		return Same
 	}
-	if s.refused[digest] == Invalid {
-		return Invalid
-	}
 	if version, ok := statedVersion(text); ok && current != nil && version <= current.Version {
 		return s.refuseVersion(current, version, digest, source)
 	}
+	if s.refused[digest] == Invalid {
+		return Invalid
+	}
 	next, err := dynamic.Parse(text)
 	if err != nil {
 		s.remember(digest, Invalid)
--- /dev/null
+++ b/pkg/settings/store_test.go
@@ -0,0 +1,106 @@
+package settings_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/clock/clocktest"
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/settings"
+)
+
+type recorder struct{ names []string }
+
+func (r *recorder) Record(e *events.Event, _ ...events.Field) { r.names = append(r.names, e.Name) }
+
+func (r *recorder) count(name string) (n int) {
+	for _, got := range r.names {
+		if got == name {
+			n++
+		}
+	}
+	return n
+}
+
+func text(version uint64, variant int) []byte {
+	if variant == 0 {
+		return fmt.Appendf(nil, `{"version":%d,"fleet":{"defaults":{"timeoutMs":0}}}`, version) // breaks the schema
+	}
+	return fmt.Appendf(nil, `{"version":%d,"fleet":{"defaults":{"timeoutMs":%d}}}`, version, variant)
+}
+
+// Guards against a version that goes down, a tree that is replaced under its
+// version, a refused tree that leaves a trace, and a confirmation that outlives
+// its epoch. The oracle is the highest valid version offered so far, whichever
+// content came first.
+func TestStoreAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rec := &recorder{}
+		s := settings.NewStore(rec, clocktest.NewManual())
+		var version uint64
+		var variant, adopted int
+		var told []uint64
+		epoch, confirmed, asked := 0, false, map[int]uint64{}
+		s.Subscribe(func(tree *dynamic.Tree) { told = append(told, tree.Version) })
+		rt.Repeat(map[string]func(*rapid.T){
+			"offer": func(rt *rapid.T) {
+				v, k := rapid.Uint64Range(1, 12).Draw(rt, "version"), rapid.IntRange(0, 3).Draw(rt, "variant")
+				want := settings.Adopted
+				switch {
+				case v < version:
+					want = settings.Older
+				case v == version && k != variant:
+					want = settings.Conflict
+				case v == version:
+					want = settings.Same
+				case k == 0:
+					want = settings.Invalid
+				default:
+					version, variant, adopted = v, k, adopted+1
+				}
+				require.Equal(rt, want.String(), s.Offer(text(v, k), "test").String())
+			},
+			"ask":       func(*rapid.T) { asked[epoch] = s.Epoch() },
+			"unconfirm": func(*rapid.T) { s.Unconfirm("paused"); epoch++; confirmed = false },
+			"confirm": func(rt *rapid.T) {
+				of := rapid.IntRange(0, epoch).Draw(rt, "epoch")
+				if e, ok := asked[of]; ok {
+					confirmed = confirmed || (of == epoch && version > 0)
+					require.Equal(rt, confirmed, s.ConfirmIn(e, "peer"))
+				}
+			},
+			"": func(rt *rapid.T) {
+				require.Equal(rt, version, s.Version())
+				require.Equal(rt, confirmed, s.Confirmed())
+				require.Len(rt, told, adopted)
+				require.Equal(rt, adopted, rec.count("settings_adopted"))
+				require.IsIncreasing(rt, append([]uint64{0}, told...))
+				if version > 0 {
+					require.Equal(rt, string(text(version, variant)), string(s.Current().Text))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a conflict that stays silent where a peer only states the
+// digest, and against one line per message for the same conflict.
+func TestConflictIsReportedOnce(t *testing.T) {
+	rec := &recorder{}
+	s := settings.NewStore(rec, clocktest.NewManual())
+	s.Offer(text(5, 1), "service")
+	digest := s.Current().Digest
+	digest[0]++
+	for range 3 {
+		_, ok := s.Matches(5, digest[:], "peer")
+		require.False(t, ok)
+	}
+	require.Equal(t, 1, rec.count("settings_conflict"))
+	order, ok := s.Matches(6, digest[:], "peer")
+	require.True(t, ok)
+	require.Equal(t, 1, order)
+}
