--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,10 @@
 	if [ -n "$$rapid" ]; then $(GO) test -race -count=1 -timeout 300s $$rapid -rapid.seed=$(SEED) -rapid.nofailfile || status=1; fi; \
 	exit $$status
 
+# The demo ends by itself; timeout bounds it where something hangs.
+demo: build
+	timeout --kill-after=5 30 demo/run.sh
+
 generate:
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+
+	"github.com/sirupsen/logrus"
+
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/gateway"
+	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/membership"
+	"lentilpin/pkg/metrics"
+	"lentilpin/pkg/peer"
+	"lentilpin/pkg/peer/peerpb"
+	"lentilpin/pkg/platform"
+	"lentilpin/pkg/settings"
+)
+
+// Entry is one running entry.
+type Entry struct {
+	conf     *static.Settings
+	rec      events.Recorder
+	metrics  *metrics.Metrics
+	log      *audit.Log
+	store    *settings.Store
+	client   *peer.Client
+	platform *platform.Client
+	table    *membership.Table
+	runner   *membership.Runner
+	owner    *ledger.Owner
+	gateway  *gateway.Gateway
+	leaving  atomic.Bool
+}
+
+// New assembles an entry. Nothing runs before Run.
+func New(conf *static.Settings, log *logrus.Logger) *Entry {
+	e := &Entry{conf: conf}
+	e.log = audit.New(conf.Limits.RequestRecords, conf.Limits.AuditRecords)
+	e.rec = events.NewLogger(log, e.log)
+	e.metrics = metrics.New(map[string]string{"instance": conf.Instance})
+	c := clock.NewSystem()
+	incarnation := rand.Uint64()
+	keyring := ledger.NewKeyring(conf.Secrets.KeySigning)
+
+	e.store = settings.NewStore(e.rec, c)
+	e.platform = platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, e.rec)
+	e.client = peer.NewClient(e.peerOptions())
+	e.owner = ledger.NewOwner(ledger.OwnerOptions{
+		Address: conf.Listen.Peers, Incarnation: incarnation, Clock: c,
+		MaxClaims: conf.Limits.MaxClaims, Keyring: keyring, Recorder: e.rec,
+	})
+	e.gateway = gateway.New(gateway.Options{
+		Instance: conf.Instance, Incarnation: incarnation, Region: conf.Region,
+		FailureDomain: conf.FailureDomain, Ordinal: conf.Ordinal,
+		Store: e.store, Owner: e.owner,
+		Claimant:        ledger.NewClaimant(e.owner, keyring, peers{e.client, e}, c, conf.Listen.Peers),
+		Log:             e.log,
+		Recorder:        e.rec,
+		Scope:           e.metrics.Scope,
+		OrdinalConflict: func() bool { return e.table.OrdinalConflict() },
+		Ready:           e.serving,
+	})
+	e.table = membership.New(membership.Options{
+		Self: &peerpb.Member{
+			Instance: conf.Instance, Incarnation: incarnation, Address: conf.Listen.Peers,
+			FailureDomain: conf.FailureDomain, Ordinal: uint32(conf.Ordinal),
+			StartedUnixMs: c.Read().Wall.UnixMilli(),
+		},
+		Client: e.client, Store: e.store, Clock: c, Recorder: e.rec,
+		Seeds: conf.SeedPeers, Source: e.gateway.Source(),
+	})
+	e.runner = membership.NewRunner(membership.RunnerOptions{
+		Platform: e.platform, Store: e.store, Table: e.table, Clock: c, Recorder: e.rec,
+		OnUnconfirmed: conf.OnUnconfirmed, OnInstances: e.gateway.UpdateInstances,
+	})
+	return e
+}
+
+func (e *Entry) peerOptions() peer.Options {
+	return peer.Options{
+		Secret:   e.conf.Secrets.Peer,
+		Header:   func() *peerpb.Header { return e.table.Header() },
+		Recorder: e.rec,
+	}
+}
+
+// serving reports whether requests may be served. A process that was paused
+// must notice it before it serves the first request after the pause.
+func (e *Entry) serving() (bool, string) {
+	e.runner.CheckPause()
+	if !e.gateway.HasInstances() {
+		return false, "no_instance_list"
+	}
+	return e.runner.Ready()
+}
+
+// ready reports whether the platform's balancer should send requests here.
+func (e *Entry) ready() (bool, string) {
+	if e.leaving.Load() {
+		return false, "leaving"
+	}
+	return e.serving()
+}
+
+// peers implements ledger.Peers.
+type peers struct {
+	*peer.Client
+	e *Entry
+}
+
+// Successor implements ledger.Peers.
+func (p peers) Successor(address string, incarnation uint64) string {
+	return p.e.table.Successor(address, incarnation)
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,259 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/membership"
+	"lentilpin/pkg/platform"
+	"lentilpin/pkg/routing"
+	"lentilpin/pkg/settings"
+)
+
+const (
+	// defaultKeyLifetime is used where no service's settings apply.
+	defaultKeyLifetime = 10 * time.Minute
+	// settleTimeout bounds the report of a result to a key's owner.
+	settleTimeout = 3 * time.Second
+	// probeTimeout bounds one load probe.
+	probeTimeout = 500 * time.Millisecond
+	// sweepInterval is how often ejections and slow starts are applied.
+	sweepInterval = 100 * time.Millisecond
+	// probeInterval is how often a service looks for a backend server that is
+	// worth a probe; the budget bounds what is sent.
+	probeInterval = 10 * time.Millisecond
+)
+
+// Options are what a Gateway works with.
+type Options struct {
+	Instance      string
+	Incarnation   uint64
+	Region        string
+	FailureDomain string
+	Ordinal       int
+	Store         *settings.Store
+	Owner         *ledger.Owner
+	Claimant      *ledger.Claimant
+	Log           *audit.Log
+	Recorder      events.Recorder
+	Scope         tally.Scope
+	// OrdinalConflict reports whether another instance states the same
+	// ordinal; no probes are sent while it does.
+	OrdinalConflict func() bool
+	// Ready reports whether the settings may be served, and why not. It also
+	// detects that the process was paused, so it is asked for every request.
+	Ready func() (bool, string)
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	o        Options
+	owner    *ledger.Owner
+	claimant *ledger.Claimant
+	log      *audit.Log
+	start    time.Time
+	prefix   string
+	sequence atomic.Uint64
+	services atomic.Pointer[map[string]*service]
+	updateMu sync.Mutex // serialises changes of services
+	list     []platform.Instance
+
+	listed     atomic.Bool // an instance list was read
+	draining   atomic.Bool
+	inFlight   atomic.Int64
+	background sync.WaitGroup
+
+	accepted tally.Counter
+	outcomes sync.Map // outcomeKey -> tally.Counter
+}
+
+// New returns a gateway that follows the store's settings.
+func New(o Options) *Gateway {
+	g := &Gateway{
+		o: o, owner: o.Owner, claimant: o.Claimant, log: o.Log,
+		start:    time.Now(),
+		prefix:   fmt.Sprintf("%s-%016x-", o.Instance, o.Incarnation),
+		accepted: o.Scope.Counter("requests_accepted"),
+	}
+	g.services.Store(&map[string]*service{})
+	o.Store.Subscribe(g.adopt)
+	return g
+}
+
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+func (g *Gateway) nextID() string {
+	return fmt.Sprintf("%s%d", g.prefix, g.sequence.Add(1))
+}
+
+func (g *Gateway) service(name string) *service {
+	return (*g.services.Load())[name]
+}
+
+func (g *Gateway) ready() (bool, string) {
+	ok, reason := g.o.Ready()
+	switch {
+	case ok:
+		return true, ""
+	case reason == membership.ReasonUnconfirmed:
+		return false, reasonUnconfirmed
+	default:
+		return false, reasonNotReady
+	}
+}
+
+// adopt puts a new settings tree in force.
+func (g *Gateway) adopt(tree *dynamic.Tree) {
+	g.updateMu.Lock()
+	defer g.updateMu.Unlock()
+	next := map[string]*service{}
+	for _, name := range tree.Services(g.o.Region) {
+		resolved := tree.Lookup(g.o.Region, name)
+		s := g.service(name)
+		if s == nil {
+			s = g.create(name, &resolved.Service)
+		} else if err := s.configure(&resolved.Service); err != nil {
+			g.o.Recorder.Record(EventServiceRefused, events.F("service", name), events.F("error", err.Error()))
+		}
+		if s == nil {
+			continue
+		}
+		next[name] = s
+	}
+	old := *g.services.Load()
+	g.services.Store(&next)
+	for name, s := range old {
+		if next[name] == nil {
+			s.pool.Close()
+		}
+	}
+	g.applyList()
+}
+
+func (g *Gateway) create(name string, settings *dynamic.Service) *service {
+	// The seed differs between instances, so that they do not follow one
+	// another to the same backend server.
+	seed := xxhash.Sum64String(name) ^ g.o.Incarnation
+	s, err := newService(g, name, seed, settings)
+	if err != nil {
+		g.o.Recorder.Record(EventServiceRefused, events.F("service", name), events.F("error", err.Error()))
+		return nil
+	}
+	return s
+}
+
+// UpdateInstances takes the platform's instance list.
+func (g *Gateway) UpdateInstances(list []platform.Instance) {
+	g.updateMu.Lock()
+	defer g.updateMu.Unlock()
+	g.list = list
+	g.listed.Store(true)
+	g.applyList()
+}
+
+func (g *Gateway) applyList() {
+	live := map[string][]routing.Backend{}
+	leaving := map[string][]string{}
+	for _, i := range g.list {
+		if i.Kind != platform.KindBackend {
+			continue
+		}
+		live[i.Service] = append(live[i.Service], routing.Backend{Address: i.Address, FailureDomain: i.FailureDomain})
+		if i.State == platform.StateLeaving {
+			leaving[i.Service] = append(leaving[i.Service], i.Address)
+		}
+	}
+	for name, s := range *g.services.Load() {
+		s.update(live[name], leaving[name])
+	}
+}
+
+// Run sweeps and probes until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	probe := time.NewTicker(probeInterval)
+	defer probe.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sweep.C:
+			for _, s := range *g.services.Load() {
+				s.sweep()
+			}
+		case <-probe.C:
+			g.probe(ctx)
+		}
+	}
+}
+
+// HasInstances reports whether an instance list was read, without which there
+// is no backend server to send work to.
+func (g *Gateway) HasInstances() bool { return g.listed.Load() }
+
+// Drain makes the gateway ask callers to close their connections. New requests
+// are still served, because the platform's balancer learns of the drain late.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Wait returns when the results of all requests are settled, or when the
+// context ends.
+func (g *Gateway) Wait(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		g.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// Close closes the connections to backend servers.
+func (g *Gateway) Close() {
+	for _, s := range *g.services.Load() {
+		s.pool.Close()
+	}
+}
+
+// ServeHTTP implements http.Handler for callers.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	g.serve(w, r)
+}
+
+type outcomeKey struct {
+	service, outcome, reason string
+}
+
+// count adds a request to the counter of its outcome. Only known services get
+// a label of their own, so that callers cannot create metrics.
+func (g *Gateway) count(s *service, res result) {
+	key := outcomeKey{service: "none", outcome: string(res.outcome), reason: res.reason}
+	if s != nil {
+		key.service = s.name
+	}
+	counter, ok := g.outcomes.Load(key)
+	if !ok {
+		counter, _ = g.outcomes.LoadOrStore(key, g.o.Scope.Tagged(map[string]string{
+			"service": key.service, "outcome": key.outcome, "reason": key.reason,
+		}).Counter("requests_finished"))
+	}
+	if c, ok := counter.(tally.Counter); ok {
+		c.Inc(1)
+	}
+}
--- /dev/null
+++ b/pkg/gateway/probe.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"lentilpin/pkg/routing"
+	"lentilpin/pkg/transport"
+)
+
+// probe sends the probes that are due. The budget of each service bounds them;
+// while another instance states the same ordinal, both would use one share, so
+// none are sent.
+func (g *Gateway) probe(ctx context.Context) {
+	suspended := g.o.OrdinalConflict()
+	for _, s := range *g.services.Load() {
+		s.budgets.Suspend(suspended)
+		for {
+			server, ok := s.prober.Next(g.now())
+			if !ok {
+				break
+			}
+			g.background.Go(func() { s.probe(ctx, server) })
+		}
+	}
+}
+
+// probe asks one backend server for its load.
+func (s *service) probe(ctx context.Context, server *routing.Server) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, fail := s.pool.Do(ctx, server.Address(), &transport.Request{
+		Method: http.MethodGet, Target: loadPath, Host: server.Address(), Idempotent: true,
+	})
+	if fail != nil {
+		if fail.Kind == transport.Dial {
+			s.quarantine.Failed(s.now(), server.Address())
+		}
+		return
+	}
+	_ = resp.Body.Close()
+	if resp.Signals.HasReport {
+		s.set.Probed(s.now(), server, resp.Signals.Report)
+	}
+	s.observe(server, resp.Signals)
+}
+
+// loadPath is where a backend server reports its load.
+const loadPath = "/load"
--- /dev/null
+++ b/pkg/gateway/problem.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// Names of header fields between callers and entries.
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerReplayed       = "Idempotency-Replayed"
+	headerRequestID      = "Lentilpin-Request-Id"
+	headerKey            = "Lentilpin-Key"
+	headerRun            = "Lentilpin-Run"
+	headerTimeout        = "Request-Timeout"
+)
+
+// Problem is the body of a refusal, problem details as in RFC 9457 with
+// extension members.
+type Problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Instance  string `json:"instance"`
+	RequestID string `json:"request_id"`
+	Run       string `json:"run"`
+	Reason    string `json:"reason"`
+	KeyState  string `json:"key_state"`
+}
+
+// writeProblem sends res as a problem to the caller. A write error means that
+// the caller is gone, which changes nothing about the outcome.
+func writeProblem(w http.ResponseWriter, id string, res result) {
+	body, err := json.Marshal(Problem{
+		Type:      "urn:lentilpin:reason:" + res.reason,
+		Title:     http.StatusText(res.status),
+		Status:    res.status,
+		Detail:    res.detail,
+		Instance:  "urn:lentilpin:request:" + id,
+		RequestID: id,
+		Run:       string(res.run),
+		Reason:    res.reason,
+		KeyState:  res.keyState,
+	})
+	if err != nil {
+		panic(err) // a struct of strings and numbers always encodes
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Cache-Control", "no-store")
+	if res.retryMS > 0 {
+		h.Set("Retry-After", strconv.Itoa((res.retryMS+999)/1000))
+	}
+	w.WriteHeader(res.status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/pkg/gateway/request.go
@@ -0,0 +1,167 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/quarantine"
+)
+
+// call is one request of a caller on its way through the gateway.
+type call struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	r        *http.Request
+	id       string
+	started  time.Time
+	svc      *service
+	settings *dynamic.Service // one snapshot for the whole request
+	deadline time.Time
+	target   string // path and query as sent to the backend server
+	body     []byte
+	print    uint64 // fingerprint for the quarantine list
+	rec      audit.Record
+}
+
+// serve takes one request from acceptance to its only outcome.
+func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
+	c := &call{g: g, w: w, r: r, id: g.nextID(), started: time.Now()}
+	c.rec = audit.Record{RequestID: c.id, Method: r.Method, Start: c.started, KeyState: keyNone}
+	if r.Header.Get(headerIdempotencyKey) != "" {
+		c.rec.KeyState = keyOpen
+	}
+	w.Header().Set(headerRequestID, c.id)
+	g.accepted.Inc(1)
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+
+	res, ok := c.resolve()
+	if ok {
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		if c.settings.IsIdempotent(r.Method) {
+			res = c.read(ctx)
+		} else {
+			res = c.order(ctx)
+		}
+	}
+	c.finish(res)
+}
+
+// finish answers a refusal, records the outcome and breaks the caller's
+// connection where a response could not be passed on whole.
+func (c *call) finish(res result) {
+	if res.keyState == "" {
+		res.keyState = c.rec.KeyState
+	}
+	if res.reason != "" && res.outcome != audit.Aborted && res.outcome != audit.Answered {
+		c.offerKey()
+		c.w.Header().Set(headerRun, string(res.run))
+		writeProblem(c.w, c.id, res)
+	}
+	c.rec.Outcome, c.rec.Run, c.rec.Reason = res.outcome, res.run, res.reason
+	c.rec.Status, c.rec.KeyState = res.status, res.keyState
+	c.rec.Duration = time.Since(c.started)
+	c.g.log.Request(c.rec)
+	c.g.count(c.svc, res)
+	if res.outcome == audit.Aborted && res.reason == reasonResponseCut {
+		// net/http closes the connection without ending the response, which
+		// is the only way left to tell the caller that it is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// offerKey puts a fresh key on the response of a request that may be followed
+// by a non-idempotent one.
+func (c *call) offerKey() {
+	lifetime := defaultKeyLifetime
+	if c.settings != nil {
+		lifetime = dynamic.MS(c.settings.Keys.LifetimeMS)
+	}
+	c.w.Header().Set(headerKey, c.g.owner.Issue(lifetime))
+}
+
+// resolve checks the request and finds its service. It returns false with the
+// refusal where the request goes no further.
+func (c *call) resolve() (result, bool) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
+	c.rec.Service = name
+	if ok, reason := c.g.ready(); !ok {
+		return c.refuseUnclaimed(http.StatusServiceUnavailable, reason, "this entry does not serve now; another one may").retryAfter(retryAfterMS), false
+	}
+	c.svc = c.g.service(name)
+	if c.svc == nil {
+		return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownService, "no such service in this region"), false
+	}
+	c.settings = c.svc.settings.Load()
+	if res, ok := c.resolveDeadline(); !ok {
+		return res, false
+	}
+	c.target = c.r.URL.RequestURI()
+	if res, ok := c.readBody(); !ok {
+		return res, false
+	}
+	c.print = quarantine.Fingerprint(c.r.Method, c.target, c.body)
+	if c.svc.quarantine.Blocked(c.g.now(), c.print) {
+		return c.refuseUnclaimed(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"), false
+	}
+	return result{}, true
+}
+
+func (c *call) resolveDeadline() (result, bool) {
+	timeout := c.settings.Timeout()
+	if text := c.r.Header.Get(headerTimeout); text != "" {
+		ms, err := strconv.ParseUint(text, 10, 31)
+		if err != nil || ms == 0 {
+			return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, "Request-Timeout must be a positive whole number of milliseconds"), false
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	c.deadline = c.started.Add(timeout)
+	return result{}, true
+}
+
+// readBody reads the whole request body. It is bounded, and it must be whole
+// before the first byte goes to a backend server: for the fingerprint of the
+// key, and so that a caller that breaks off half way has caused no work.
+func (c *call) readBody() (result, bool) {
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return result{}, true
+	}
+	limit := c.settings.MaxBodyBytes
+	if c.r.ContentLength > limit {
+		return c.refuseUnclaimed(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return c.refuseUnclaimed(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
+	case err != nil:
+		return c.refuseUnclaimed(http.StatusBadRequest, reasonBodyIncomplete, "the body did not arrive whole"), false
+	}
+	c.body = body
+	return result{}, true
+}
+
+// refuseUnclaimed refuses a request before its key was claimed. Without a key
+// nothing ran; with one, an earlier request with that key may have run, which
+// only the key's owner knows.
+func (c *call) refuseUnclaimed(status int, reason, detail string) result {
+	if c.rec.KeyState != keyNone && !c.isRead() {
+		return unknown(status, reason, detail)
+	}
+	return notRun(status, reason, detail)
+}
+
+func (c *call) isRead() bool {
+	return c.settings != nil && c.settings.IsIdempotent(c.r.Method)
+}
--- /dev/null
+++ b/pkg/gateway/server.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"encoding/json"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"golang.org/x/net/netutil"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/config/static"
+)
+
+// maxKeysPerCall bounds how many keys one call may draw.
+const maxKeysPerCall = 100
+
+// keysPath issues idempotency keys.
+const keysPath = "/.lentilpin/keys"
+
+// Keys is the response of the key path.
+type Keys struct {
+	Keys []string `json:"keys"`
+}
+
+// NewServer returns the HTTP server for callers with its limits and the
+// listener to serve. The server's own error log is silenced because callers
+// cause its lines.
+func NewServer(g *Gateway, l net.Listener, limits static.Limits) (*http.Server, net.Listener) {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.POST(keysPath, g.issueKeys)
+	e.Any("/*", func(c echo.Context) error {
+		g.ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	server := &http.Server{
+		Handler:           e,
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		ReadHeaderTimeout: dynamic.MS(limits.HeaderReadMS),
+		ReadTimeout:       dynamic.MS(limits.HeaderReadMS + limits.BodyReadMS),
+		IdleTimeout:       dynamic.MS(limits.IdleMS),
+		ErrorLog:          log.New(discard{}, "", 0),
+	}
+	return server, netutil.LimitListener(l, limits.MaxConnections)
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// issueKeys answers with fresh keys. Issuing stores nothing, so it needs no
+// limit but the size of the response.
+func (g *Gateway) issueKeys(c echo.Context) error {
+	count, err := strconv.Atoi(c.QueryParam("count"))
+	if c.QueryParam("count") == "" {
+		count, err = 1, nil
+	}
+	if err != nil || count < 1 || count > maxKeysPerCall {
+		return c.JSON(http.StatusBadRequest, Problem{
+			Type: "urn:lentilpin:reason:" + reasonMalformed, Title: "Bad Request", Status: http.StatusBadRequest,
+			Detail: "count must be from 1 to " + strconv.Itoa(maxKeysPerCall), Run: "not_run", Reason: reasonMalformed, KeyState: keyNone,
+		})
+	}
+	keys := Keys{Keys: make([]string, count)}
+	for i := range keys.Keys {
+		keys.Keys[i] = g.owner.Issue(g.keyLifetime())
+	}
+	c.Response().Header().Set("Cache-Control", "no-store")
+	body, err := json.Marshal(keys)
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, "application/json", body)
+}
+
+// keyLifetime is the shortest lifetime of any service, because a key may be
+// used at any of them.
+func (g *Gateway) keyLifetime() time.Duration {
+	lifetime := defaultKeyLifetime
+	for _, s := range *g.services.Load() {
+		lifetime = min(lifetime, dynamic.MS(s.settings.Load().Keys.LifetimeMS))
+	}
+	return lifetime
+}
--- /dev/null
+++ b/pkg/gateway/service.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/limit"
+	"lentilpin/pkg/measure"
+	"lentilpin/pkg/outlier"
+	"lentilpin/pkg/quarantine"
+	"lentilpin/pkg/retry"
+	"lentilpin/pkg/routing"
+	"lentilpin/pkg/transport"
+)
+
+// service is the state of one service. It outlasts settings versions.
+type service struct {
+	name       string
+	now        func() time.Duration
+	settings   atomic.Pointer[dynamic.Service]
+	set        *routing.Set
+	pool       *transport.Pool
+	outliers   *outlier.Detector
+	quarantine *quarantine.List
+	queue      *limit.Queue
+	retries    *retry.Budget
+	hedgeDelay *retry.HedgeDelay
+	budgets    *measure.Budgets
+	prober     *measure.Prober
+
+	limitsMu sync.Mutex
+	limits   map[*routing.Server]*limit.Concurrency
+
+	hedges  tally.Counter
+	retried tally.Counter
+}
+
+func newService(g *Gateway, name string, seed uint64, settings *dynamic.Service) (*service, error) {
+	set, err := routing.NewSet(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: seed, Settings: settings})
+	if err != nil {
+		return nil, err
+	}
+	rec := g.o.Recorder
+	budgets := measure.NewBudgets(g.now(), settings, g.o.Ordinal)
+	scope := g.o.Scope.Tagged(map[string]string{"service": name})
+	s := &service{
+		name:       name,
+		now:        g.now,
+		set:        set,
+		outliers:   outlier.New(settings, rec),
+		quarantine: quarantine.New(settings, rec),
+		queue:      limit.NewQueue(settings.Queue.MaxRequests, dynamic.MS(settings.Queue.MaxWaitMS)),
+		retries:    retry.NewBudget(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond),
+		hedgeDelay: retry.NewHedgeDelay(settings.Retry.HedgePercentile),
+		limits:     map[*routing.Server]*limit.Concurrency{},
+		budgets:    budgets,
+		prober:     measure.NewProber(set, budgets, seed),
+		hedges:     scope.Counter("hedges"),
+		retried:    scope.Counter("retries"),
+	}
+	s.settings.Store(settings)
+	s.pool = transport.NewPool(transport.Options{Settings: s.settings.Load, Recorder: rec})
+	return s, nil
+}
+
+// configure puts new settings in force.
+func (s *service) configure(settings *dynamic.Service) error {
+	s.settings.Store(settings)
+	s.outliers.Configure(settings)
+	s.quarantine.Configure(settings)
+	s.queue.Configure(settings.Queue.MaxRequests, dynamic.MS(settings.Queue.MaxWaitMS))
+	s.budgets.Configure(settings)
+	s.hedgeDelay.Configure(settings.Retry.HedgePercentile)
+	s.retries.Configure(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond)
+	return s.set.Configure(settings)
+}
+
+// update takes the backend servers of the instance list. live are those that
+// may get work, leaving are those that the list says are leaving.
+func (s *service) update(live []routing.Backend, leaving []string) {
+	now := s.now()
+	s.set.Update(now, live)
+	addresses := make([]string, len(live))
+	for i, b := range live {
+		addresses[i] = b.Address
+	}
+	s.outliers.Update(now, addresses)
+	for _, a := range leaving {
+		s.outliers.Drain(now, a, "list")
+	}
+	s.sweep()
+}
+
+// observe takes the signals of a response.
+func (s *service) observe(server *routing.Server, sig transport.Signals) {
+	if sig.HasReport {
+		server.Observe(s.now(), sig.Report, 0)
+	}
+	if sig.Draining {
+		s.outliers.Drain(s.now(), server.Address(), "response")
+		s.sweep()
+	}
+}
+
+// finish ends an attempt: capacity, limit, outliers, and one waiter of the
+// queue that may now find capacity.
+func (s *service) finish(server *routing.Server, latency time.Duration, o routing.Outcome) {
+	now := s.now()
+	server.End(now, latency, o)
+	if o != routing.Canceled {
+		s.outliers.Record(now, server.Address(), latency, o)
+		server.SetLimit(s.concurrency(server).Record(latency, o))
+	}
+	s.queue.Wake()
+}
+
+func (s *service) concurrency(server *routing.Server) *limit.Concurrency {
+	s.limitsMu.Lock()
+	defer s.limitsMu.Unlock()
+	c := s.limits[server]
+	if c == nil {
+		c = limit.NewConcurrency(int32(s.settings.Load().PerInstance()))
+		s.limits[server] = c
+	}
+	return c
+}
+
+// sweep applies ejections, drains and slow starts to the routing weights.
+func (s *service) sweep() {
+	for _, change := range s.outliers.Sweep(s.now()) {
+		server := s.set.Server(change.Address)
+		if server == nil {
+			continue
+		}
+		server.SetWeight(change.Weight)
+		if change.Weight == 0 {
+			s.pool.Retire(change.Address)
+		}
+	}
+	s.queue.Wake()
+}
--- /dev/null
+++ b/pkg/gateway/source.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"time"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/peer/peerpb"
+	"lentilpin/pkg/routing"
+)
+
+// Source is what this entry shares with its peers and learns from them. It
+// implements membership.Source. Ages travel instead of times, because the
+// clocks of two instances need not agree.
+type Source struct {
+	g *Gateway
+}
+
+// Source returns the gateway's side of the exchange between entries.
+func (g *Gateway) Source() *Source { return &Source{g} }
+
+// Drains implements membership.Source.
+func (s *Source) Drains() []*peerpb.DrainMark {
+	var out []*peerpb.DrainMark
+	now := s.g.now()
+	for name, svc := range *s.g.services.Load() {
+		for _, m := range svc.outliers.Marks(now) {
+			out = append(out, &peerpb.DrainMark{Service: name, Address: m.Address, AgeMs: uint32((now - m.Seen).Milliseconds())})
+		}
+	}
+	return out
+}
+
+// Quarantines implements membership.Source.
+func (s *Source) Quarantines() []*peerpb.Quarantine {
+	var out []*peerpb.Quarantine
+	for name, svc := range *s.g.services.Load() {
+		for _, e := range svc.quarantine.Active(s.g.now()) {
+			out = append(out, &peerpb.Quarantine{Service: name, Fingerprint: e.Fingerprint, RemainingMs: uint32(e.Remaining.Milliseconds())})
+		}
+	}
+	return out
+}
+
+// Reports implements membership.Source.
+func (s *Source) Reports() []*peerpb.LoadReport {
+	var out []*peerpb.LoadReport
+	now := s.g.now()
+	for name, svc := range *s.g.services.Load() {
+		maxAge := dynamic.MS(svc.settings.Load().Routing.ReportMaxAgeMS)
+		for _, r := range svc.set.Reports(now, maxAge) {
+			out = append(out, &peerpb.LoadReport{
+				Service: name, Address: r.Address,
+				Inflight: uint32(r.Report.Inflight), Queued: uint32(r.Report.Queued), Slots: uint32(r.Report.Slots),
+				LatencyMs: float32(r.Report.Latency.Seconds() * 1000), AgeMs: uint32(r.Age.Milliseconds()),
+			})
+		}
+	}
+	return out
+}
+
+// Merge implements membership.Source. What concerns an unknown service is
+// dropped: the sender may have newer settings.
+func (s *Source) Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine, reports []*peerpb.LoadReport) {
+	now := s.g.now()
+	services := *s.g.services.Load()
+	for _, d := range drains {
+		if svc := services[d.GetService()]; svc != nil {
+			svc.outliers.Merge(now, now-ms(d.GetAgeMs()), d.GetAddress(), "peer")
+			svc.sweep()
+		}
+	}
+	for _, q := range quarantines {
+		if svc := services[q.GetService()]; svc != nil {
+			svc.quarantine.Merge(now, q.GetFingerprint(), ms(q.GetRemainingMs()))
+		}
+	}
+	for _, r := range reports {
+		if svc := services[r.GetService()]; svc != nil {
+			svc.set.Merge(now, routing.SharedReport{
+				Address: r.GetAddress(), Age: ms(r.GetAgeMs()),
+				Report: routing.Report{
+					Inflight: int32(r.GetInflight()), Queued: int32(r.GetQueued()), Slots: int32(r.GetSlots()),
+					Latency: time.Duration(float64(r.GetLatencyMs()) * float64(time.Millisecond)),
+				},
+			})
+		}
+	}
+}
+
+func ms(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
