--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -61,5 +61,9 @@
 		<-signals
 		os.Exit(buildinfo.ExitAborted)
 	}()
-	return entry.New(conf, log).Run(ctx)
+	listeners, err := entry.Listen(ctx, conf.Listen)
+	if err != nil {
+		return err
+	}
+	return entry.New(conf, log).Run(ctx, listeners)
 }
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -18,14 +18,10 @@
 	"lentilpin/pkg/peer/peerpb"
 )
 
-// Run serves until ctx ends and then shuts down gracefully. The error is that
-// of a listener.
-func (e *Entry) Run(ctx context.Context) error {
-	ls, err := listen(ctx, e.conf.Listen)
-	if err != nil {
-		return err
-	}
-	server, callers := gateway.NewServer(e.gateway, ls.callers, e.conf.Limits)
+// Run serves on the listeners until ctx ends and then shuts down gracefully.
+// The error is that of a listener.
+func (e *Entry) Run(ctx context.Context, ls *Listeners) error {
+	server, callers := gateway.NewServer(e.gateway, ls.Callers, e.conf.Limits)
 	operators := e.operatorServer()
 
 	// work ends after the callers are served, so that settles and handover
@@ -33,8 +29,8 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	group, failed := errgroup.WithContext(work)
-	group.Go(func() error { return peer.Serve(work, ls.peers, service{e: e}, e.peerOptions()) })
-	group.Go(func() error { return ignoreClosed(operators.Serve(ls.operators)) })
+	group.Go(func() error { return peer.Serve(work, ls.Peers, service{e: e}, e.peerOptions()) })
+	group.Go(func() error { return ignoreClosed(operators.Serve(ls.Operators)) })
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
 	var loops sync.WaitGroup
 	loops.Go(func() { e.runner.Run(work) })
@@ -50,7 +46,7 @@
 	e.shutdown(server)
 	_ = operators.Close()
 	stop()
-	err = group.Wait()
+	err := group.Wait()
 	loops.Wait()
 	e.gateway.Close()
 	e.platform.Close()
@@ -82,17 +78,20 @@
 	}
 }
 
-type listeners struct {
-	callers, peers, operators net.Listener
+// Listeners are the open listeners of an entry. Run closes them.
+type Listeners struct {
+	Callers, Peers, Operators net.Listener
 }
 
-func listen(ctx context.Context, l static.Listen) (*listeners, error) {
-	var out listeners
+// Listen opens the listeners of the settings file. The error names the address
+// that could not be opened.
+func Listen(ctx context.Context, l static.Listen) (*Listeners, error) {
+	var out Listeners
 	var lc net.ListenConfig
 	for _, one := range []struct {
 		address string
 		into    *net.Listener
-	}{{l.Callers, &out.callers}, {l.Peers, &out.peers}, {l.Operators, &out.operators}} {
+	}{{l.Callers, &out.Callers}, {l.Peers, &out.Peers}, {l.Operators, &out.Operators}} {
 		ln, err := lc.Listen(ctx, "tcp", one.address)
 		if err != nil {
 			out.close()
@@ -103,8 +102,8 @@
 	return &out, nil
 }
 
-func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.callers, l.peers, l.operators} {
+func (l *Listeners) close() {
+	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Operators} {
 		if ln != nil {
 			_ = ln.Close()
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,9 @@
 	// Ready reports whether the settings may be served, and why not. It also
 	// detects that the process was paused, so it is asked for every request.
 	Ready func() (bool, string)
+
+	// dial replaces the connections to backend servers in tests.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Gateway serves callers.
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -63,7 +63,7 @@
 		retried:    scope.Counter("retries"),
 	}
 	s.settings.Store(settings)
-	s.pool = transport.NewPool(transport.Options{Settings: s.settings.Load, Recorder: rec})
+	s.pool = transport.NewPool(transport.Options{Settings: s.settings.Load, Recorder: rec, Dial: g.o.dial})
 	return s, nil
 }
 
