--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmetadata"
@@ -99,6 +100,11 @@
 }
 
 func (c *Client) invoke(ctx context.Context, address string, call *call, in, out drpc.Message) error {
+	// drpc would open the call before it encodes the message, and the peer
+	// would wait for the rest of it.
+	if proto.Size(in.(proto.Message)) > call.maxBytes {
+		return refusedOversized
+	}
 	release, err := c.acquire(ctx, address)
 	if err != nil {
 		return err
--- a/pkg/peer/events.go
+++ b/pkg/peer/events.go
@@ -10,7 +10,7 @@
 	eventRequestRefused = events.New(2701, logrus.WarnLevel, "peer_request_refused",
 		"A peer sent a message that is not accepted; its connection was closed.")
 	eventReplyRefused = events.New(2702, logrus.WarnLevel, "peer_reply_refused",
-		"A peer replied with a message that is not accepted; the connection was closed.")
+		"A request to a peer or its reply is not accepted on this side; the call failed.")
 	eventCallTimeout = events.New(2703, logrus.WarnLevel, "peer_call_timeout",
 		"A call to a peer reached its deadline; its connection and the idle ones were closed.")
 	eventServeTimeout = events.New(2704, logrus.WarnLevel, "peer_request_timeout",
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -18,10 +18,10 @@
 const (
 	DefaultMaxPerPeer     = 8
 	DefaultMaxConnections = 4096
-	// DefaultIdle is shorter than serverIdle, so that the caller closes an idle
-	// connection before the peer does and no call meets a closing connection.
-	DefaultIdle = 30 * time.Second
-	serverIdle  = 60 * time.Second
+	DefaultIdle           = 30 * time.Second
+	// serverIdleFactor makes the caller close an idle connection before the
+	// peer does, so that no call meets a connection that is being closed.
+	serverIdleFactor = 2
 )
 
 const secretKey = "lentilpin-peer-secret"
@@ -33,7 +33,7 @@
 	Recorder       events.Recorder       // default: events are dropped
 	MaxPerPeer     int                   // default 8; calls at once, and so connections, to one peer
 	MaxConnections int                   // default 4096; connections that the server holds
-	Idle           time.Duration         // default 30 s; an unused connection is closed after this
+	Idle           time.Duration         // default 30 s; the caller closes an unused connection after this, the server after twice as long
 
 	// Seen is called with the header of every accepted message and, for a
 	// reply, with the address of the peer. It must not block. Default: none.
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -28,7 +28,7 @@
 	if err := srv.mux.Register(s, description{options: srv.options}); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
-	srv.drpc = drpcserver.NewWithOptions(srv, drpcserver.Options{Manager: managerOptions(serverIdle)})
+	srv.drpc = drpcserver.NewWithOptions(srv, drpcserver.Options{Manager: managerOptions(serverIdleFactor * srv.options.Idle)})
 
 	ctx, cancel := context.WithCancel(ctx)
 	var running sync.WaitGroup
@@ -74,10 +74,20 @@
 // connection is one connection of a peer.
 type connection struct {
 	net.Conn
+	ctx      context.Context
+	cancel   context.CancelFunc
 	busy     bool // guarded by server.mu: a call is in progress
 	draining bool // guarded by server.mu: close at the end of the call
 }
 
+// end closes the connection for good. The context ends as well, because the
+// drpc manager does not see a closed socket while it holds a message that
+// belongs to no call.
+func (c *connection) end() {
+	c.cancel()
+	_ = c.Close()
+}
+
 // add registers a connection; it closes the connection and returns nil if
 // there are too many.
 func (s *server) add(conn net.Conn) *connection {
@@ -93,14 +103,14 @@
 	}
 	defer s.mu.Unlock()
 	c := &connection{Conn: conn}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	s.open[c] = struct{}{}
 	return c
 }
 
 func (s *server) serve(c *connection) {
-	// The context never ends: a connection ends by being closed, which lets a
-	// call in progress finish.
-	err := s.drpc.ServeOne(context.Background(), c)
+	defer c.cancel()
+	err := s.drpc.ServeOne(c.ctx, c)
 	s.mu.Lock()
 	delete(s.open, c)
 	s.mu.Unlock()
@@ -118,7 +128,7 @@
 	for c := range s.open {
 		c.draining = true
 		if !c.busy {
-			_ = c.Close()
+			c.end()
 		}
 	}
 }
@@ -135,7 +145,7 @@
 	defer s.mu.Unlock()
 	c.busy = false
 	if c.draining {
-		_ = c.Close()
+		c.end()
 	}
 }
 
@@ -150,7 +160,7 @@
 	err := s.handle(stream, name, c)
 	var r refusal
 	if errors.As(err, &r) {
-		_ = c.Close()
+		c.end()
 		s.options.Recorder.Record(eventRequestRefused, events.F("peer", c.RemoteAddr().String()),
 			events.F("call", name[:min(len(name), 64)]), events.F("reason", string(r)))
 	}
@@ -166,7 +176,7 @@
 		return refusedSecret
 	}
 	timer := time.AfterFunc(call.longest, func() {
-		_ = c.Close()
+		c.end()
 		s.options.Recorder.Record(eventServeTimeout, events.F("peer", c.RemoteAddr().String()), events.F("call", name))
 	})
 	defer timer.Stop()
