--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -94,11 +94,12 @@
 func (c *call) end(a *attempt, o routing.Outcome) {
 	a.cancel()
 	c.svc.finish(a.server, a.latency, o)
-	if o == routing.Broken {
+	if o == routing.Broken && !a.isNotRun() {
 		c.svc.quarantine.Broken(c.g.now(), c.print, a.server.Address())
+		c.verify(a.server)
 	}
-	if a.fail != nil && a.fail.Kind == transport.Dial {
-		c.svc.quarantine.Failed(c.g.now(), a.server.Address())
+	if a.fail != nil {
+		c.svc.noteDial(a.server, a.fail)
 	}
 	c.rec.Attempts = append(c.rec.Attempts, audit.Attempt{
 		Backend:       a.server.Address(),
@@ -109,6 +110,33 @@
 	})
 }
 
+// verify asks a backend server that broke a connection whether it still accepts
+// one. Without this, a crash would stay unnoticed until other work meets it.
+func (c *call) verify(server *routing.Server) {
+	done := make(chan struct{})
+	c.verified = append(c.verified, done)
+	c.g.background.Go(func() {
+		defer close(done)
+		c.svc.probe(context.Background(), server)
+	})
+}
+
+// awaitVerified waits until it is known whether the backend servers that broke
+// connections have crashed. An attempt beyond the second break must not crash
+// one more before that.
+func (c *call) awaitVerified(ctx context.Context) {
+	if len(c.verified) < c.settings.Quarantine.Breaks {
+		return
+	}
+	for _, done := range c.verified {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // resultOf words an attempt for the request record.
 func resultOf(a *attempt, o routing.Outcome) string {
 	if a.fail != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -76,7 +76,7 @@
 	listed     atomic.Bool // an instance list was read
 	draining   atomic.Bool
 	inFlight   atomic.Int64
-	background sync.WaitGroup
+	background tracker
 
 	accepted tally.Counter
 	outcomes sync.Map // outcomeKey -> tally.Counter
@@ -189,6 +189,8 @@
 	defer sweep.Stop()
 	probe := time.NewTicker(probeInterval)
 	defer probe.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -198,7 +200,7 @@
 				s.sweep()
 			}
 		case <-probe.C:
-			g.probe(ctx)
+			g.probe(ctx, &probes)
 		}
 	}
 }
@@ -214,15 +216,7 @@
 // Wait returns when the results of all requests are settled, or when the
 // context ends.
 func (g *Gateway) Wait(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		g.background.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
+	g.background.wait(ctx)
 }
 
 // Close closes the connections to backend servers.
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/transport"
@@ -11,7 +12,7 @@
 // probe sends the probes that are due. The budget of each service bounds them;
 // while another instance states the same ordinal, both would use one share, so
 // none are sent.
-func (g *Gateway) probe(ctx context.Context) {
+func (g *Gateway) probe(ctx context.Context, running *sync.WaitGroup) {
 	suspended := g.o.OrdinalConflict()
 	for _, s := range *g.services.Load() {
 		s.budgets.Suspend(suspended)
@@ -20,7 +21,7 @@
 			if !ok {
 				break
 			}
-			g.background.Go(func() { s.probe(ctx, server) })
+			running.Go(func() { s.probe(ctx, server) })
 		}
 	}
 }
@@ -33,9 +34,7 @@
 		Method: http.MethodGet, Target: loadPath, Host: server.Address(), Idempotent: true,
 	})
 	if fail != nil {
-		if fail.Kind == transport.Dial {
-			s.quarantine.Failed(s.now(), server.Address())
-		}
+		s.noteDial(server, fail)
 		return
 	}
 	_ = resp.Body.Close()
@@ -45,5 +44,13 @@
 	s.observe(server, resp.Signals)
 }
 
+// noteDial tells the quarantine list of a backend server that accepts no
+// connection, which is the evidence that it crashed.
+func (s *service) noteDial(server *routing.Server, fail *transport.Failure) {
+	if fail.Kind == transport.Dial {
+		s.quarantine.Failed(s.now(), server.Address())
+	}
+}
+
 // loadPath is where a backend server reports its load.
 const loadPath = "/load"
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -101,6 +101,10 @@
 	if rd.ctx.Err() != nil {
 		return rd.expired(), true
 	}
+	rd.awaitVerified(rd.ctx)
+	if rd.svc.quarantine.Blocked(rd.g.now(), rd.print) {
+		return rd.quarantined(a), true
+	}
 	if rd.mayRetry() {
 		rd.svc.retried.Inc(1)
 		if refusal := rd.launch(); refusal == nil {
@@ -173,6 +177,10 @@
 	})
 }
 
+func (rd *reader) quarantined(a *attempt) result {
+	return notRun(http.StatusServiceUnavailable, reasonQuarantined, "the request crashed backend servers").asRead(a)
+}
+
 func (rd *reader) expired() result {
 	if rd.r.Context().Err() != nil {
 		return result{outcome: audit.Aborted, run: audit.Unknown, reason: reasonCallerGone}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -29,6 +29,7 @@
 	body     []byte
 	print    uint64 // fingerprint for the quarantine list
 	rec      audit.Record
+	verified []chan struct{} // checks of backend servers that broke connections
 }
 
 // serve takes one request from acceptance to its only outcome.
@@ -94,6 +95,10 @@
 func (c *call) resolve() (result, bool) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
 	c.rec.Service = name
+	if hasConflictingLengths(c.r) {
+		c.w.Header().Set("Connection", "close")
+		return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, "the request has both Content-Length and Transfer-Encoding"), false
+	}
 	if ok, reason := c.g.ready(); !ok {
 		return c.refuseUnclaimed(http.StatusServiceUnavailable, reason, "this entry does not serve now; another one may").retryAfter(retryAfterMS), false
 	}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -45,7 +45,8 @@
 		IdleTimeout:       dynamic.MS(limits.IdleMS),
 		ErrorLog:          log.New(discard{}, "", 0),
 	}
-	return server, netutil.LimitListener(l, limits.MaxConnections)
+	inspectFraming(server)
+	return server, framingListener{netutil.LimitListener(l, limits.MaxConnections), limits.MaxHeaderBytes}
 }
 
 type discard struct{}
