--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 FUZZ_SECONDS ?= 60
 
-.PHONY: all build fmt vet staticcheck check test fuzz bench demo generate clean
+.PHONY: all build fmt vet staticcheck check test fuzz bench demo events generate clean
 
 all: check
 
@@ -37,6 +37,10 @@
 demo: build
 	timeout --kill-after=5 30 demo/run.sh
 
+# Writes the catalogue of log events from the code.
+events:
+	UPDATE_EVENTS=1 $(GO) test -count=1 -run TestCatalogueMatchesTheCode ./pkg/entry
+
 generate:
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
