--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,9 @@
 	if [ -n "$$rapid" ]; then $(GO) test -race -count=1 -timeout 300s $$rapid -rapid.seed=$(SEED) -rapid.nofailfile || status=1; fi; \
 	exit $$status
 
+fuzz:
+	scripts/fuzz.sh $(FUZZ_SECONDS) $(RAPID_PACKAGES)
+
 # The demo ends by itself; timeout bounds it where something hangs.
 demo: build
 	timeout --kill-after=5 30 demo/run.sh
--- a/pkg/entry/cluster_test.go
+++ b/pkg/entry/cluster_test.go
@@ -33,7 +33,7 @@
 // cluster is some entries in this process in front of backend stand-ins, all
 // over loopback sockets.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *platform.Server
 	http     *httptest.Server
 	backends []*backend.Server
@@ -47,7 +47,7 @@
 	done chan error
 }
 
-func newCluster(t *testing.T, entries int, configs ...backend.Config) *cluster {
+func newCluster(t testing.TB, entries int, configs ...backend.Config) *cluster {
 	c := &cluster{t: t, platform: platform.New(0), client: &http.Client{Transport: &http.Transport{}}}
 	c.http = httptest.NewServer(c.platform.Reader())
 	require.NoError(t, c.platform.Publish([]byte(clusterTree)))
