--- /dev/null
+++ b/pkg/limit/concurrency_test.go
@@ -0,0 +1,93 @@
+package limit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/limit"
+	"lentilpin/pkg/routing"
+)
+
+const ms = time.Millisecond
+
+func record(c *limit.Concurrency, n int, latency time.Duration, o routing.Outcome) int32 {
+	for range n {
+		c.Record(latency, o)
+	}
+	return c.Limit()
+}
+
+// Guards against a limit of 0, which would never recover, and above the share,
+// which would exceed the connections agreed for the backend server.
+func TestConcurrencyBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		top := rapid.Int32Range(-1, 20).Draw(t, "max")
+		c := limit.NewConcurrency(top)
+		t.Repeat(map[string]func(*rapid.T){
+			"record": func(t *rapid.T) {
+				c.Record(time.Duration(rapid.Int64Range(-1, int64(time.Minute)).Draw(t, "latency")), routing.Outcome(rapid.Uint8Range(0, 5).Draw(t, "outcome")))
+			},
+			"max": func(t *rapid.T) {
+				top = rapid.Int32Range(-1, 20).Draw(t, "max")
+				c.SetMax(top)
+			},
+			"": func(t *rapid.T) {
+				if l := c.Limit(); l < 1 || l > max(1, top) {
+					t.Fatalf("limit %d outside 1..%d", l, max(1, top))
+				}
+			},
+		})
+	})
+}
+
+// Guards against a limit that ignores a signal, falls further than one event
+// justifies, or never grows back.
+func TestConcurrencySignals(t *testing.T) {
+	warm := func() *limit.Concurrency {
+		c := limit.NewConcurrency(20)
+		record(c, 100, 10*ms, routing.Success)
+		return c
+	}
+	tests := []struct {
+		desc     string
+		do       func(c *limit.Concurrency) int32
+		min, max int32
+	}{
+		{"steady latency keeps the share", func(c *limit.Concurrency) int32 { return record(c, 500, 10*ms, routing.Success) }, 20, 20},
+		{"latency growth decreases", func(c *limit.Concurrency) int32 { return record(c, 100, 50*ms, routing.Success) }, 8, 18},
+		{"a shed decreases", func(c *limit.Concurrency) int32 { return record(c, 1, ms, routing.Shed) }, 15, 15},
+		{"20 sheds at once are one event", func(c *limit.Concurrency) int32 { return record(c, 20, ms, routing.Shed) }, 15, 15},
+		{"sheds that last reach 1", func(c *limit.Concurrency) int32 { return record(c, 500, ms, routing.Shed) }, 1, 1},
+		{"a timeout halves", func(c *limit.Concurrency) int32 { return record(c, 1, time.Second, routing.Timeout) }, 10, 10},
+		{"a broken connection halves", func(c *limit.Concurrency) int32 { return record(c, 1, ms, routing.Broken) }, 10, 10},
+		{"losers of hedges show slowness", func(c *limit.Concurrency) int32 { return record(c, 100, 50*ms, routing.Canceled) }, 1, 18},
+		{"short canceled attempts say nothing", func(c *limit.Concurrency) int32 { return record(c, 100, ms, routing.Canceled) }, 20, 20},
+		{"grows back", func(c *limit.Concurrency) int32 {
+			record(c, 500, ms, routing.Shed)
+			return record(c, 400, 10*ms, routing.Success)
+		}, 20, 20},
+		{"slower for good recovers", func(c *limit.Concurrency) int32 { return record(c, 3000, 50*ms, routing.Success) }, 20, 20},
+		{"fast errors do not lower the minimum", func(c *limit.Concurrency) int32 {
+			record(c, 100, 100*time.Microsecond, routing.ErrorResponse)
+			return record(c, 200, 10*ms, routing.Success)
+		}, 20, 20},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			got := tc.do(warm())
+			require.GreaterOrEqual(t, got, tc.min)
+			require.LessOrEqual(t, got, tc.max)
+		})
+	}
+}
+
+func BenchmarkConcurrencyRecord(b *testing.B) {
+	c := limit.NewConcurrency(6)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Record(10*ms, routing.Success)
+	}
+}
--- /dev/null
+++ b/pkg/limit/queue_test.go
@@ -0,0 +1,321 @@
+package limit_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/limit"
+)
+
+// Guards against a line that loses order, bounds or a waiter. The oracle is a
+// slice.
+func TestLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(0, 5).Draw(t, "size")
+		line := limit.NewLine(size, 100*ms)
+		var now time.Duration
+		var model []*limit.Waiter
+		leave := func(t *rapid.T, i int, started bool) {
+			w := model[i]
+			model = slices.Delete(model, i, i+1)
+			if next := line.Leave(now, w, started); next != (i == 0 && len(model) > 0) {
+				t.Fatalf("leave of place %d with %d left says new head: %v", i, len(model), next)
+			}
+			if line.Leave(now, w, started) {
+				t.Fatal("second leave has an effect")
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(t *rapid.T) {
+				w := &limit.Waiter{}
+				deadline := now + rapid.SampledFrom([]time.Duration{-now, 0, 20 * ms, 200 * ms}).Draw(t, "deadline")
+				err := line.Join(now, deadline, w)
+				late := deadline > 0 && deadline <= now
+				switch {
+				case len(model) >= size:
+					if !errors.Is(err, limit.ErrFull) {
+						t.Fatalf("full line says %v", err)
+					}
+				case err == nil && late, err != nil && !errors.Is(err, limit.ErrLate), err != nil && len(model) == 0 && !late:
+					t.Fatalf("join of %d waiters at %s with deadline %s says %v", len(model), now, deadline, err)
+				case err == nil:
+					if w.Deadline > now+100*ms || deadline > 0 && w.Deadline > deadline {
+						t.Fatalf("deadline %s at %s", w.Deadline, now)
+					}
+					model = append(model, w)
+				}
+			},
+			"start": func(t *rapid.T) {
+				if len(model) > 0 {
+					leave(t, 0, true)
+				}
+			},
+			"give up": func(t *rapid.T) {
+				if len(model) > 0 {
+					leave(t, rapid.IntRange(0, len(model)-1).Draw(t, "place"), false)
+				}
+			},
+			"time": func(t *rapid.T) { now += rapid.SampledFrom([]time.Duration{ms, 10 * ms, 90 * ms}).Draw(t, "step") },
+			"": func(t *rapid.T) {
+				if line.Len() != len(model) || len(model) > size {
+					t.Fatalf("%d waiters, want %d of %d", line.Len(), len(model), size)
+				}
+				if head := line.Head(); len(model) == 0 && head != nil || len(model) > 0 && head != model[0] {
+					t.Fatal("wrong head")
+				}
+			},
+		})
+	})
+}
+
+// Guards against requests that wait in vain: at a pace of one start per 10 ms
+// and a bound of 100 ms the eleventh cannot start in time.
+func TestLineShedsEarly(t *testing.T) {
+	line := limit.NewLine(100, 100*ms)
+	var now time.Duration
+	join := func() error { return line.Join(now, 0, &limit.Waiter{}) }
+	for range 20 {
+		require.NoError(t, join())
+	}
+	for range 20 {
+		now += 10 * ms
+		line.Leave(now, line.Head(), true)
+	}
+	for range 10 {
+		require.NoError(t, join())
+	}
+	require.ErrorIs(t, join(), limit.ErrLate)
+	require.ErrorIs(t, join(), limit.ErrTimeout)
+
+	for line.Len() > 0 {
+		line.Leave(now, line.Head(), false)
+	}
+	now += time.Minute
+	require.NoError(t, join(), "an empty line takes a request whatever the pace")
+	now += 10 * ms
+	line.Leave(now, line.Head(), true)
+	for range 5 {
+		require.NoError(t, join(), "idle time is not part of the pace")
+	}
+}
+
+// Guards against a wake-up that is lost between a failed try and joining the
+// queue, and against newcomers that overtake those who wait.
+func TestQueueTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := limit.NewQueue(10, time.Second)
+		ctx := context.Background()
+		var tries int
+		start := time.Now()
+		require.NoError(t, q.Admit(ctx, func() bool { tries++; q.Wake(); return tries > 1 }))
+		require.Zero(t, time.Since(start))
+
+		s := &simulation{}
+		var order []string
+		admit := func(ctx context.Context, name string, try func() bool) {
+			go func() {
+				if q.Admit(ctx, try) == nil {
+					s.mu.Lock()
+					defer s.mu.Unlock()
+					order = append(order, name)
+				}
+			}()
+			synctest.Wait()
+		}
+		release := func(n int) {
+			s.mu.Lock()
+			s.free = n
+			s.mu.Unlock()
+		}
+		admit(ctx, "first", s.try)
+		release(1) // its wake-up is still under way
+		admit(ctx, "newcomer", s.try)
+		q.Wake()
+		synctest.Wait()
+		require.Equal(t, []string{"first"}, order)
+		admit(ctx, "third", s.try)
+		release(2)
+		q.Wake() // stands for two at once
+		synctest.Wait()
+		require.Equal(t, []string{"first", "newcomer", "third"}, order)
+
+		// A turn may meet a waiter that is about to give up. Which of the two the
+		// waiter sees first is random.
+		for range 20 {
+			impatient, cancel := context.WithCancel(ctx)
+			calls := 0
+			admit(impatient, "impatient", func() bool {
+				if calls++; calls == 3 {
+					release(1)
+					q.Wake()
+					cancel()
+				}
+				return calls > 3 && s.try()
+			})
+			admit(ctx, "patient", s.try)
+			q.Wake()
+			synctest.Wait()
+			require.Zero(t, s.free, "the slot is taken by one of the two")
+			release(1)
+			q.Wake()
+			synctest.Wait()
+			require.Zero(t, q.Len())
+			release(0)
+		}
+	})
+}
+
+type arrival struct{ gap, hold, patience time.Duration }
+
+// simulation runs arrivals against a fixed number of slots in virtual time.
+type simulation struct {
+	mu       sync.Mutex
+	free     int
+	tries    int
+	waited   []int // arrivals that waited and started, in the order of starts
+	ends     []int // how often each arrival ended
+	results  []error
+	deadline []time.Duration
+}
+
+func (s *simulation) try() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tries++
+	if s.free == 0 {
+		return false
+	}
+	s.free--
+	return true
+}
+
+func (s *simulation) request(q *limit.Queue, i int, a arrival) {
+	ctx := context.Background()
+	if a.patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, a.patience)
+		defer cancel()
+	}
+	arrived := time.Now()
+	err := q.Admit(ctx, s.try)
+	s.mu.Lock()
+	s.ends[i]++
+	s.results[i] = err
+	s.deadline[i] = time.Since(arrived)
+	if err == nil && time.Since(arrived) > 0 {
+		s.waited = append(s.waited, i)
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return
+	}
+	time.Sleep(a.hold)
+	s.mu.Lock()
+	s.free++
+	s.mu.Unlock()
+	q.Wake()
+}
+
+// Guards against lost wake-ups, wrong order, a waiter that ends twice or never,
+// waits beyond the bound, and waking many for one slot.
+func TestQueue(t *testing.T) {
+	const maxWait = 50 * ms
+	step := rapid.Map(rapid.IntRange(0, 30), func(n int) time.Duration { return time.Duration(n) * ms })
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(rt, "slots")
+		size := rapid.IntRange(1, 8).Draw(rt, "size")
+		plan := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) arrival {
+			return arrival{step.Draw(t, "gap") / 4, step.Draw(t, "hold") + ms/2, step.Draw(t, "patience") * 3}
+		}), 1, 40).Draw(rt, "arrivals")
+		s := &simulation{free: slots, ends: make([]int, len(plan)), results: make([]error, len(plan)), deadline: make([]time.Duration, len(plan))}
+		var problem string
+		synctest.Test(t, func(*testing.T) {
+			q := limit.NewQueue(size, maxWait)
+			check := func() {
+				synctest.Wait()
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if q.Len() > size {
+					problem = fmt.Sprintf("%d waiters of %d", q.Len(), size)
+				}
+				if s.free > 0 && q.Len() > 0 {
+					problem = fmt.Sprintf("%d slots are free while %d wait", s.free, q.Len())
+				}
+			}
+			for i, a := range plan {
+				time.Sleep(a.gap + time.Microsecond)
+				go s.request(q, i, a)
+				check()
+			}
+			for range 200 {
+				time.Sleep(ms)
+				check()
+			}
+			if q.Len() > 0 {
+				problem = "waiters are left"
+			}
+		})
+		if problem != "" {
+			rt.Fatal(problem)
+		}
+		for i := range plan {
+			if s.ends[i] != 1 || s.deadline[i] > maxWait {
+				rt.Fatalf("arrival %d ended %d times after %s: %v", i, s.ends[i], s.deadline[i], s.results[i])
+			}
+		}
+		if !slices.IsSorted(s.waited) {
+			rt.Fatalf("started in the order %v", s.waited)
+		}
+		// Each arrival tries on arrival and when it becomes the oldest, and each
+		// of the ends wakes one.
+		if s.tries > 3*len(plan) {
+			rt.Fatalf("%d tries of %d arrivals", s.tries, len(plan))
+		}
+	})
+}
+
+// Guards against a wake-up that is lost because it meets a waiter that is just
+// giving up: real goroutines, run with -race.
+func TestQueueStress(t *testing.T) {
+	q := limit.NewQueue(1000, time.Minute)
+	s := &simulation{free: 2, ends: make([]int, 2000), results: make([]error, 2000), deadline: make([]time.Duration, 2000)}
+	var all sync.WaitGroup
+	for i := range 2000 {
+		all.Go(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if i%3 == 0 {
+				go cancel()
+			}
+			if q.Admit(ctx, s.try) == nil {
+				s.mu.Lock()
+				s.free++
+				s.mu.Unlock()
+				q.Wake()
+			}
+		})
+	}
+	all.Wait()
+	require.Zero(t, q.Len())
+	require.Equal(t, 2, s.free)
+}
+
+func BenchmarkQueueAdmitFree(b *testing.B) {
+	q := limit.NewQueue(256, 100*ms)
+	ctx := context.Background()
+	yes := func() bool { return true }
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = q.Admit(ctx, yes)
+		q.Wake()
+	}
+}
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -176,8 +176,8 @@
 	}
 	d.order = slices.SortedFunc(maps.Values(list), func(a, b *server) int { return cmp.Compare(a.address, b.address) })
 	d.servers.Store(&list)
+	d.forget(now)
 	d.begin(now, added)
-	d.enforce(now)
 }
 
 // keep remembers a server outside the list while its drain mark or ejections
@@ -187,11 +187,10 @@
 		return
 	}
 	d.kept[s.address] = s
-	for a, k := range d.kept {
-		if d.relevantUntil(k) <= now {
-			delete(d.kept, a)
-		}
+	if len(d.kept) <= maxKept {
+		return
 	}
+	d.forget(now)
 	if len(d.kept) <= maxKept {
 		return
 	}
@@ -204,6 +203,11 @@
 	delete(d.kept, first.address)
 }
 
+// forget drops what no longer matters outside the list.
+func (d *Detector) forget(now time.Duration) {
+	maps.DeleteFunc(d.kept, func(_ string, s *server) bool { return d.relevantUntil(s) <= now })
+}
+
 func (d *Detector) relevantUntil(s *server) time.Duration {
 	var until time.Duration
 	if s.drained {
@@ -277,7 +281,6 @@
 	}
 	if s.state != Draining {
 		d.enter(now, s, Draining, ReasonDrain)
-		d.enforce(now)
 	}
 }
 
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -20,8 +20,8 @@
 // minRequests attempts.
 //
 // At most floor(maxEjectRatio x servers that are not draining) are ejected; with
-// the default 0.33 that is none of 3 and one of 6. The bound holds at every
-// moment: if the list shrinks or others start to drain, the servers ejected
+// the default 0.33 that is none of 3 and one of 6. The bound holds after
+// every Sweep: if the list shrinks or others start to drain, the servers ejected
 // first are readmitted early. If more than half of the servers would be in slow
 // start, newcomers start at full weight, because a service that is new as a
 // whole has no others to take the load meanwhile.
--- /dev/null
+++ b/pkg/outlier/outlier_test.go
@@ -0,0 +1,340 @@
+package outlier_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/outlier"
+	"lentilpin/pkg/routing"
+)
+
+const ms = time.Millisecond
+
+func settings() *dynamic.Service {
+	return &dynamic.Service{Outlier: dynamic.Outlier{
+		ErrorRatio: 0.5, MinRequests: 10, EjectMS: 5000, MaxEjectMS: 20000, MaxEjectRatio: 0.33,
+		SlowStartMS: 5000, DrainHoldMS: 30000, LatencyFactor: 5, HealthPeriodMS: 5000,
+	}}
+}
+
+func addresses(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("10.0.0.%d:80", i+10)
+	}
+	return out
+}
+
+type recorder struct{ names []string }
+
+func (r *recorder) Record(e *events.Event, _ ...events.Field) { r.names = append(r.names, e.Name) }
+
+// fixture drives a detector as the gateway does and knows the weights applied.
+type fixture struct {
+	*outlier.Detector
+	now     time.Duration
+	list    []string
+	weights map[string]float64
+	rec     recorder
+}
+
+func newFixture(s *dynamic.Service, n int) *fixture {
+	f := &fixture{now: time.Minute, weights: map[string]float64{}}
+	f.Detector = outlier.New(s, &f.rec)
+	f.update(addresses(n))
+	return f
+}
+
+func (f *fixture) update(list []string) {
+	old := f.weights
+	f.list, f.weights = list, map[string]float64{}
+	for _, a := range list {
+		w, ok := old[a]
+		if !ok {
+			w = 1
+		}
+		f.weights[a] = w
+	}
+	f.Update(f.now, list)
+	f.sweep()
+}
+
+func (f *fixture) sweep() {
+	for _, c := range f.Sweep(f.now) {
+		if _, listed := f.weights[c.Address]; listed {
+			f.weights[c.Address] = c.Weight
+		}
+	}
+}
+
+func (f *fixture) advance(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.now = min(end, f.now+100*ms)
+		f.sweep()
+	}
+}
+
+func (f *fixture) record(address string, n int, latency time.Duration, o routing.Outcome) {
+	for range n {
+		f.Record(f.now, address, latency, o)
+	}
+}
+
+// traffic records good attempts at all servers and n with outcome o at the bad.
+func (f *fixture) traffic(n int, latency time.Duration, o routing.Outcome, bad ...string) {
+	for _, a := range f.list {
+		if slices.Contains(bad, a) {
+			f.record(a, n, latency, o)
+		} else {
+			f.record(a, n, 10*ms, routing.Success)
+		}
+	}
+	f.sweep()
+}
+
+func (f *fixture) state(address string) outlier.State {
+	info, _ := f.Info(f.now, address)
+	return info.State
+}
+
+// Guards against ejecting more than the bound, work for a draining server while
+// its mark holds (whatever list and health say), a mark that is lost or
+// prolonged by passing it on, and a server that stays out for good.
+func TestDetectorPromises(t *testing.T) {
+	universe := addresses(9)
+	address := rapid.SampledFrom(universe)
+	rapid.Check(t, func(t *rapid.T) {
+		s := settings()
+		s.Outlier.DrainHoldMS, s.Outlier.EjectMS, s.Outlier.MaxEjectMS, s.Outlier.SlowStartMS = 3000, 500, 2000, 1000
+		s.Outlier.MaxEjectRatio = rapid.SampledFrom([]float64{0, 0.33, 0.5, 1}).Draw(t, "ratio")
+		hold := dynamic.MS(s.Outlier.DrainHoldMS)
+		f := newFixture(s, 6)
+		seen := map[string]time.Duration{}     // oracle: newest first-hand signal
+		outSince := map[string]time.Duration{} // since when a server has weight 0 without a mark
+		draining := func(a string) bool { at, ok := seen[a]; return ok && f.now < at+hold }
+		mark := func(a string, at time.Duration) {
+			if old, ok := seen[a]; at+hold > f.now && (!ok || at > old) {
+				seen[a] = at
+			}
+		}
+		sources := rapid.SampledFrom([]string{outlier.SourceResponse, outlier.SourcePeer, outlier.SourceList, outlier.SourceHealth})
+		t.Repeat(map[string]func(*rapid.T){
+			"list": func(t *rapid.T) {
+				f.update(rapid.SliceOfNDistinct(address, 1, 9, rapid.ID[string]).Draw(t, "list"))
+			},
+			"attempts": func(t *rapid.T) {
+				o := routing.Outcome(rapid.Uint8Range(0, 5).Draw(t, "outcome"))
+				f.record(address.Draw(t, "address"), rapid.IntRange(1, 20).Draw(t, "n"), time.Duration(rapid.IntRange(1, 500).Draw(t, "latency"))*ms, o)
+			},
+			"good traffic": func(t *rapid.T) { f.traffic(10, 0, routing.Success) },
+			"bad server": func(t *rapid.T) {
+				f.traffic(10, 0, routing.Broken, address.Draw(t, "address"), address.Draw(t, "second"))
+			},
+			"drain": func(t *rapid.T) {
+				a := address.Draw(t, "address")
+				f.Drain(f.now, a, sources.Draw(t, "source"))
+				mark(a, f.now)
+			},
+			"mark of a peer": func(t *rapid.T) {
+				a := address.Draw(t, "address")
+				at := f.now - time.Duration(rapid.IntRange(-1000, 5000).Draw(t, "age"))*ms
+				f.Merge(f.now, at, a, outlier.SourcePeer)
+				mark(a, min(at, f.now))
+			},
+			"own and older marks come back": func(t *rapid.T) {
+				for _, m := range f.Marks(f.now) {
+					f.Merge(f.now, m.Seen, m.Address, outlier.SourcePeer)
+					f.Merge(f.now, m.Seen-500*ms, m.Address, outlier.SourcePeer)
+				}
+			},
+			"health": func(t *rapid.T) {
+				f.Health(f.now, address.Draw(t, "address"), rapid.Bool().Draw(t, "ok"))
+			},
+			"time": func(t *rapid.T) { f.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "step")) * ms },
+			"": func(t *rapid.T) {
+				f.sweep()
+				active, ejected := 0, 0
+				var marked []string
+				for _, a := range universe {
+					if draining(a) {
+						marked = append(marked, a)
+					}
+				}
+				if got := f.Drains(f.now); !slices.Equal(got, marked) {
+					t.Fatalf("marks %v, want %v", got, marked)
+				}
+				for a, w := range f.weights {
+					if draining(a) {
+						if w != 0 {
+							t.Fatalf("%s drains with weight %v", a, w)
+						}
+						delete(outSince, a)
+						continue
+					}
+					active++
+					if w > 0 {
+						delete(outSince, a)
+						continue
+					}
+					ejected++
+					if since, ok := outSince[a]; !ok {
+						outSince[a] = f.now
+					} else if f.now-since > 2*dynamic.MS(s.Outlier.MaxEjectMS) {
+						t.Fatalf("%s is out for %s", a, f.now-since)
+					}
+				}
+				for a := range outSince {
+					if _, listed := f.weights[a]; !listed {
+						delete(outSince, a)
+					}
+				}
+				if float64(ejected) > s.Outlier.MaxEjectRatio*float64(active) {
+					t.Fatalf("%d of %d ejected", ejected, active)
+				}
+			},
+		})
+	})
+}
+
+// Guards against ejection for the wrong reason and against failing servers that
+// stay in.
+func TestEjection(t *testing.T) {
+	bad := addresses(6)[2]
+	tests := []struct {
+		desc    string
+		do      func(f *fixture)
+		ejected bool
+	}{
+		{"fails fast", func(f *fixture) { f.traffic(10, ms, routing.ErrorResponse, bad) }, true},
+		{"breaks connections", func(f *fixture) { f.traffic(10, ms, routing.Broken, bad) }, true},
+		{"times out", func(f *fixture) { f.traffic(10, time.Second, routing.Timeout, bad) }, true},
+		{"slow", func(f *fixture) { f.traffic(10, 200*ms, routing.Success, bad) }, true},
+		{"slow, seen only by losers of hedges", func(f *fixture) {
+			f.traffic(10, 10*ms, routing.Success)
+			f.record(bad, 60, 200*ms, routing.Canceled)
+			f.sweep()
+		}, true},
+		{"a little slower", func(f *fixture) { f.traffic(10, 30*ms, routing.Success, bad) }, false},
+		{"sheds", func(f *fixture) { f.traffic(100, ms, routing.Shed, bad) }, false},
+		{"too few attempts", func(f *fixture) { f.traffic(9, ms, routing.Broken, bad) }, false},
+		{"all fail alike", func(f *fixture) { f.traffic(10, ms, routing.Broken, f.list...) }, false},
+		{"failures long ago", func(f *fixture) {
+			f.record(bad, 9, ms, routing.Broken)
+			f.advance(15 * time.Second)
+			f.record(bad, 1, ms, routing.Broken)
+			f.sweep()
+		}, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			f := newFixture(settings(), 6)
+			tc.do(f)
+			require.Equal(t, tc.ejected, f.weights[bad] == 0)
+			require.Equal(t, tc.ejected, slices.Contains(f.rec.names, "backend_ejected"))
+		})
+	}
+}
+
+// Guards against ejections of equal length, readmission at full weight, a health
+// endpoint that readmits early or keeps a server out for good, and ejections
+// that are never forgotten.
+func TestReadmission(t *testing.T) {
+	f := newFixture(settings(), 6)
+	bad := f.list[0]
+	eject := func() time.Duration {
+		f.traffic(10, ms, routing.Broken, bad)
+		require.Equal(t, outlier.Ejected, f.state(bad))
+		from := f.now
+		f.Health(f.now, bad, true)
+		for f.state(bad) == outlier.Ejected {
+			f.advance(100 * ms)
+		}
+		require.InDelta(t, 0.1, f.weights[bad], 0.02)
+		return f.now - from
+	}
+	require.Equal(t, []time.Duration{5 * time.Second, 10 * time.Second, 20 * time.Second, 20 * time.Second},
+		[]time.Duration{eject(), eject(), eject(), eject()})
+	f.advance(2500 * ms)
+	f.Health(f.now, bad, false)
+	require.InDelta(t, 0.55, f.weights[bad], 0.02)
+	f.advance(3 * time.Second)
+	require.Equal(t, 1.0, f.weights[bad])
+	f.advance(80 * time.Second)
+	require.Equal(t, 5*time.Second, eject())
+
+	f.advance(80 * time.Second)
+	f.traffic(10, ms, routing.Broken, bad)
+	for range 19 {
+		f.Health(f.now, bad, false)
+		f.advance(time.Second)
+		require.Equal(t, outlier.Ejected, f.state(bad))
+	}
+	f.advance(time.Second)
+	require.Equal(t, outlier.SlowStart, f.state(bad))
+}
+
+// Guards against new servers at full weight, and against a service that is new
+// as a whole or doubles and starts with a tenth of its weight.
+func TestNewServers(t *testing.T) {
+	f := newFixture(settings(), 4)
+	require.Equal(t, 1.0, f.weights[f.list[3]], "new as a whole")
+	f.update(addresses(6))
+	require.Equal(t, []float64{1, 0.1, 0.1}, []float64{f.weights[f.list[3]], f.weights[f.list[4]], f.weights[f.list[5]]})
+	f.advance(5 * time.Second)
+	require.Equal(t, 1.0, f.weights[f.list[5]])
+	f.update(addresses(15))
+	require.Equal(t, 1.0, f.weights[f.list[14]], "more than half are new")
+}
+
+// Guards against a drain mark or ejection that ends because the list flaps, a
+// drain that is not in the trail, and a drained server at full weight at once.
+func TestDrainOutlivesTheList(t *testing.T) {
+	f := newFixture(settings(), 6)
+	leaving, failing := f.list[1], f.list[2]
+	f.traffic(10, ms, routing.Broken, failing)
+	f.Drain(f.now, leaving, outlier.SourceResponse)
+	f.sweep()
+	f.update([]string{f.list[0]})
+	f.advance(time.Second)
+	f.update(addresses(6))
+	require.Equal(t, outlier.Draining, f.state(leaving))
+	require.Equal(t, outlier.Ejected, f.state(failing))
+	f.advance(28900 * ms)
+	require.Zero(t, f.weights[leaving])
+	f.advance(100 * ms)
+	require.Equal(t, 0.1, f.weights[leaving])
+	require.Subset(t, f.rec.names, []string{"backend_draining", "backend_drain_ended"})
+}
+
+// Guards against memory that grows with marks of servers that do not exist.
+func TestMarksAreBounded(t *testing.T) {
+	f := newFixture(settings(), 1)
+	for i := range 3000 {
+		f.Drain(f.now, fmt.Sprint(i), outlier.SourcePeer)
+	}
+	require.Len(t, f.Drains(f.now), 1024)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	f := newFixture(settings(), 20)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Record(f.now, "10.0.0.20:80", 10*ms, routing.Success)
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	f := newFixture(settings(), 20)
+	f.traffic(20, 0, routing.Success)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.Sweep(f.now)
+	}
+}
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -19,7 +19,7 @@
 // State: local to this instance, except fingerprints in quarantine, which the
 // entries exchange with the remaining time. All tables are bounded: 4096 blamed
 // and 1024 quarantined fingerprints, 1024 incidents with 16 fingerprints each;
-// the oldest entries give way. Messages: peerpb.Quarantine through the gateway.
+// the oldest eighth gives way. Messages: peerpb.Quarantine through the gateway.
 //
 // Difference from the design page: Ran is additional (a response proves that the
 // request ran), and Configure.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -187,9 +188,7 @@
 func (l *List) incident(now time.Duration, address string) *incident {
 	in := l.incidents[address]
 	if in == nil {
-		if len(l.incidents) >= maxIncidents {
-			l.dropIncident()
-		}
+		trim(l.incidents, maxIncidents, func(in *incident) time.Duration { return in.last })
 		in = &incident{start: now}
 		l.incidents[address] = in
 	} else if now-in.last >= incidentGap {
@@ -199,16 +198,6 @@
 	return in
 }
 
-func (l *List) dropIncident() {
-	oldest := ""
-	for a, in := range l.incidents {
-		if o := l.incidents[oldest]; o == nil || in.last < o.last || in.last == o.last && a < oldest {
-			oldest = a
-		}
-	}
-	delete(l.incidents, oldest)
-}
-
 // settle blames the fingerprints of a confirmed incident.
 func (l *List) settle(now time.Duration, address string, in *incident) {
 	if !in.confirmed {
@@ -225,9 +214,7 @@
 	blames := slices.DeleteFunc(l.blamed[fp], func(b blame) bool { return b.address == address || b.at <= oldest })
 	blames = append(blames, blame{address, now})
 	if len(blames) < max(minServers, l.settings.Breaks) {
-		if _, known := l.blamed[fp]; !known && len(l.blamed) >= maxBlamed {
-			l.dropBlamed()
-		}
+		trim(l.blamed, maxBlamed, func(b []blame) time.Duration { return b[len(b)-1].at })
 		l.blamed[fp] = blames
 		l.blames.Store(int32(len(l.blamed)))
 		return
@@ -243,34 +230,34 @@
 	l.rec.Record(eventQuarantined, events.F("fingerprint", fp), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
 }
 
-func (l *List) dropBlamed() {
-	var oldest uint64
-	at := time.Duration(1<<63 - 1)
-	for fp, b := range l.blamed {
-		if last := b[len(b)-1].at; last < at || last == at && fp < oldest {
-			oldest, at = fp, last
-		}
-	}
-	delete(l.blamed, oldest)
-}
-
 func (l *List) hold(now time.Duration, fp uint64, q quarantined) {
-	l.expire(now)
-	if _, known := l.held[fp]; !known && len(l.held) >= maxQuarantined {
-		var first uint64
-		until := time.Duration(1<<63 - 1)
-		for f, h := range l.held {
-			if h.until < until || h.until == until && f < first {
-				first, until = f, h.until
-			}
+	if len(l.held) >= maxQuarantined {
+		l.expire(now)
+		if n := trim(l.held, maxQuarantined, func(q quarantined) time.Duration { return q.until }); n > 0 {
+			l.rec.Record(eventEvicted, events.F("evicted", n))
 		}
-		delete(l.held, first)
-		l.rec.Record(eventEvicted, events.F("fingerprint", first))
 	}
 	l.held[fp] = q
 	l.active.Store(int32(len(l.held)))
 }
 
+// trim makes room in a table that has reached its limit: an eighth of the
+// entries goes, those with the lowest time first. Removing one at a time would
+// search the whole table for each entry of a flood.
+func trim[K cmp.Ordered, V any](table map[K]V, limit int, at func(V) time.Duration) int {
+	if len(table) < limit {
+		return 0
+	}
+	keys := slices.SortedFunc(maps.Keys(table), func(a, b K) int {
+		return cmp.Or(cmp.Compare(at(table[a]), at(table[b])), cmp.Compare(a, b))
+	})
+	drop := len(table) - limit + max(1, limit/8)
+	for _, k := range keys[:drop] {
+		delete(table, k)
+	}
+	return drop
+}
+
 func (l *List) expire(now time.Duration) {
 	for fp, q := range l.held {
 		if now >= q.until {
--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,186 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/quarantine"
+)
+
+const (
+	ms       = time.Millisecond
+	duration = time.Minute
+	crashing = uint64(7)
+	innocent = uint64(8)
+)
+
+func newList() *quarantine.List {
+	return quarantine.New(&dynamic.Service{Quarantine: dynamic.Quarantine{Breaks: 1, DurationMS: 60000}}, events.Discard{})
+}
+
+// Guards against a quarantine without broken attempts on two backend servers or
+// a peer's word, after a proof that the request runs, or beyond its duration.
+// Breaks is 1 in the settings, which must not weaken the rule.
+func TestEvidenceOnTwoServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newList()
+		now := time.Minute
+		address := rapid.SampledFrom([]string{"a", "b", "c"})
+		fp := rapid.Uint64Range(0, 4)
+		broke := map[uint64]map[string]time.Duration{}
+		merged := map[uint64]time.Duration{}
+		t.Repeat(map[string]func(*rapid.T){
+			"broken": func(t *rapid.T) {
+				f, a := fp.Draw(t, "fp"), address.Draw(t, "address")
+				l.Broken(now, f, a)
+				if broke[f] == nil {
+					broke[f] = map[string]time.Duration{}
+				}
+				broke[f][a] = now
+			},
+			"failed": func(t *rapid.T) { l.Failed(now, address.Draw(t, "address")) },
+			"ran": func(t *rapid.T) {
+				f := fp.Draw(t, "fp")
+				l.Ran(f)
+				if !l.Blocked(now, f) {
+					// Blame may still follow from incidents that are not confirmed.
+					for a, at := range broke[f] {
+						if now-at >= 2*time.Second {
+							delete(broke[f], a)
+						}
+					}
+				}
+			},
+			"merge": func(t *rapid.T) {
+				f, d := fp.Draw(t, "fp"), time.Duration(rapid.IntRange(-1, 100).Draw(t, "s"))*time.Second
+				l.Merge(now, f, d)
+				merged[f] = max(merged[f], now+min(d, duration))
+			},
+			"time":  func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "step")) * ms },
+			"times": func(t *rapid.T) { now += time.Duration(rapid.IntRange(1, 90).Draw(t, "step")) * time.Second },
+			"": func(t *rapid.T) {
+				for f := range uint64(5) {
+					if !l.Blocked(now, f) || now < merged[f] {
+						continue
+					}
+					recent := 0
+					for _, at := range broke[f] {
+						if now-at < 2*duration+4*time.Second {
+							recent++
+						}
+					}
+					if recent < 2 {
+						t.Fatalf("%d is blocked after breaks %v at %s", f, broke[f], now)
+					}
+				}
+			},
+		})
+		if n := len(l.Active(now)); n > 5 {
+			t.Fatalf("%d active", n)
+		}
+	})
+}
+
+// Guards against a crash-making request that goes on and against an innocent one
+// that is taken for it.
+func TestIncidents(t *testing.T) {
+	type step func(l *quarantine.List, at time.Duration)
+	crash := func(fp uint64, address string) step {
+		return func(l *quarantine.List, at time.Duration) {
+			l.Broken(at, fp, address)
+			l.Failed(at+300*ms, address)
+		}
+	}
+	breaks := func(fp uint64, address string) step {
+		return func(l *quarantine.List, at time.Duration) { l.Broken(at, fp, address) }
+	}
+	tests := []struct {
+		desc  string
+		steps []step // 500 ms apart
+		want  []uint64
+	}{
+		{"one server", []step{crash(crashing, "a"), crash(crashing, "a"), crash(crashing, "a")}, nil},
+		{"two servers", []step{crash(crashing, "a"), crash(crashing, "b")}, []uint64{crashing}},
+		{"breaks without another failure", []step{breaks(crashing, "a"), breaks(crashing, "b")}, nil},
+		{"confirmed by others that broke", []step{
+			breaks(crashing, "a"), breaks(1, "a"), breaks(crashing, "b"), breaks(2, "b"),
+		}, []uint64{crashing}},
+		{"runs in between", []step{crash(innocent, "a"), func(l *quarantine.List, _ time.Duration) { l.Ran(innocent) }, crash(innocent, "b")}, nil},
+		{"a server that fails all meets one that is crashed", []step{
+			breaks(1, "a"), breaks(2, "a"), crash(innocent, "a"), crash(crashing, "b"), breaks(innocent, "b"),
+		}, nil},
+		{"two servers that fail for long", []step{
+			breaks(1, "a"), breaks(2, "b"), crash(innocent, "a"), crash(innocent, "b"), crash(innocent, "a"),
+		}, nil},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			l := newList()
+			at := time.Minute
+			for _, s := range tc.steps {
+				s(l, at)
+				at += 500 * ms
+			}
+			var got []uint64
+			for _, e := range l.Active(at) {
+				got = append(got, e.Fingerprint)
+				require.Len(t, e.Addresses, 2)
+			}
+			require.Equal(t, tc.want, got)
+			require.Equal(t, len(tc.want) > 0, l.Blocked(at, crashing))
+			require.False(t, l.Blocked(at+duration, crashing))
+		})
+	}
+}
+
+// Guards against memory that grows with the number of requests, servers or
+// fingerprints of peers.
+func TestBounds(t *testing.T) {
+	l := newList()
+	for i := range 20000 {
+		l.Broken(time.Minute, uint64(i), fmt.Sprint("a", i%2000))
+		l.Merge(time.Minute, uint64(i)<<32, time.Second)
+	}
+	n := len(l.Active(time.Minute))
+	require.Greater(t, n, 800)
+	require.LessOrEqual(t, n, 1024)
+	require.Empty(t, l.Active(time.Hour))
+}
+
+// Guards against different requests with one fingerprint.
+func TestFingerprint(t *testing.T) {
+	seen := map[uint64]bool{}
+	for _, r := range [][3]string{{"GET", "/a", ""}, {"GET", "/", "a"}, {"POST", "/a", ""}, {"POST", "/a", "b"}, {"POST", "/ab", ""}} {
+		seen[quarantine.Fingerprint(r[0], r[1], []byte(r[2]))] = true
+	}
+	require.Len(t, seen, 5)
+}
+
+func BenchmarkBlocked(b *testing.B) {
+	for _, held := range []int{0, 100} {
+		b.Run(fmt.Sprint(held), func(b *testing.B) {
+			l := newList()
+			for i := range held {
+				l.Merge(0, uint64(i), duration)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				l.Blocked(ms, 5000)
+			}
+		})
+	}
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	body := make([]byte, 1024)
+	b.ReportAllocs()
+	for b.Loop() {
+		quarantine.Fingerprint("POST", "/tilaus/orders", body)
+	}
+}
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -12,6 +12,10 @@
 // to one backend server (6 by default), which may all break at once.
 const Burst = 10
 
+// rounding lets ten times a ratio of 0.1 add up to one token in spite of binary
+// fractions.
+const rounding = 1e-9
+
 // Budget bounds the extra attempts of one service at this instance.
 type Budget struct {
 	mu        sync.Mutex
@@ -62,7 +66,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1 {
+	if b.tokens < 1-rounding {
 		b.refused++
 		return false
 	}
--- /dev/null
+++ b/pkg/retry/retry_test.go
@@ -0,0 +1,165 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/retry"
+)
+
+type attempt struct {
+	at    time.Duration
+	extra bool
+}
+
+// Guards against an outage that multiplies load: in every window the extra
+// attempts stay within burst, ratio and constant rate, whatever the pattern.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
+		rate := rapid.Float64Range(0, 30).Draw(t, "rate")
+		b := retry.NewBudget(ratio, rate)
+		var now time.Duration
+		var log []attempt
+		take := func(t *rapid.T) {
+			for range rapid.IntRange(1, 30).Draw(t, "failures") {
+				if b.Take(now) {
+					log = append(log, attempt{now, true})
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"requests": func(t *rapid.T) {
+				for range rapid.IntRange(1, 30).Draw(t, "requests") {
+					b.Request(now)
+					log = append(log, attempt{now, false})
+				}
+			},
+			"failures": take,
+			"both": func(t *rapid.T) {
+				b.Request(now)
+				log = append(log, attempt{now, false})
+				take(t)
+			},
+			"time": func(t *rapid.T) {
+				now += time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "step"))
+			},
+			"late clock": func(t *rapid.T) { b.Request(now - time.Second); log = append(log, attempt{now, false}) },
+		})
+		capacity := max(retry.Burst, rate)
+		for i, from := range log {
+			extra, first := 0.0, 0.0
+			for _, a := range log[i:] {
+				if !a.extra {
+					first++
+					continue
+				}
+				extra++
+				if allowed := capacity + ratio*first + rate*(a.at-from.at).Seconds(); extra > allowed+1e-6 {
+					t.Fatalf("%v extra attempts after %v first ones in %s, allowed %v", extra, first, a.at-from.at, allowed)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a budget that gives less than agreed.
+func TestBudgetGives(t *testing.T) {
+	b := retry.NewBudget(0.1, 1)
+	require.True(t, b.Take(0), "one second of the constant rate at the start")
+	require.False(t, b.Take(0))
+	for range 50 {
+		b.Request(0)
+	}
+	for range 5 {
+		require.True(t, b.Take(0))
+	}
+	require.False(t, b.Take(0))
+	require.True(t, b.Take(time.Second))
+	require.False(t, b.Take(time.Second))
+	require.EqualValues(t, 3, b.Refused())
+}
+
+type names []string
+
+func (n *names) Record(e *events.Event, _ ...events.Field) { *n = append(*n, e.Name) }
+
+// Guards against an exhausted budget that nobody hears of, or hears of again and
+// again.
+func TestBudgetReports(t *testing.T) {
+	b := retry.NewBudget(0, 0)
+	var got names
+	for _, refuse := range []bool{false, true, true, false, false} {
+		if refuse {
+			b.Take(0)
+		}
+		b.Report(&got, "varasto")
+	}
+	require.Equal(t, names{"retry_budget_exhausted", "retry_budget_recovered"}, got)
+}
+
+// Guards against a hedge delay off the percentile by more than the histogram's
+// precision, before there are enough samples, or bound to old latencies.
+func TestHedgeDelay(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	h := retry.NewHedgeDelay(95)
+	var all []time.Duration
+	for i := range 2000 {
+		_, ok := h.Delay()
+		require.Equal(t, i >= 100, ok)
+		l := time.Duration(random.ExpFloat64() * float64(10*time.Millisecond))
+		h.Record(l)
+		all = append(all, l)
+	}
+	slices.Sort(all)
+	got, _ := h.Delay()
+	require.InEpsilon(t, float64(all[len(all)*95/100]), float64(got), 0.15)
+	for range 2000 {
+		h.Record(time.Hour)
+	}
+	got, _ = h.Delay()
+	require.InEpsilon(t, float64(time.Minute), float64(got), 0.1, "the upper bound")
+	for range 2100 {
+		h.Record(-1)
+	}
+	got, _ = h.Delay()
+	require.Less(t, got, 50*time.Microsecond)
+}
+
+// Guards against a percentile of the newer histogram alone, which has few
+// samples after each change of histograms.
+func TestHedgeDelayCoversBothHistograms(t *testing.T) {
+	h := retry.NewHedgeDelay(80)
+	for range 1000 {
+		h.Record(10 * time.Millisecond)
+	}
+	for range 120 {
+		h.Record(time.Second)
+	}
+	got, _ := h.Delay()
+	require.InEpsilon(t, float64(10*time.Millisecond), float64(got), 0.1)
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := retry.NewBudget(0.1, 1)
+	b.ReportAllocs()
+	for b.Loop() {
+		budget.Request(0)
+		budget.Take(0)
+	}
+}
+
+func BenchmarkHedgeRecord(b *testing.B) {
+	h := retry.NewHedgeDelay(95)
+	b.ReportAllocs()
+	for b.Loop() {
+		h.Record(5 * time.Millisecond)
+		h.Delay()
+	}
+}
