--- a/Makefile
+++ b/Makefile
@@ -51,3 +51,5 @@
 
 clean:
 	rm -rf $(BIN) out
+
+include bench.mk
