--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -29,11 +29,15 @@
 	settleTimeout = 3 * time.Second
 	// probeTimeout bounds one load probe.
 	probeTimeout = 500 * time.Millisecond
-	// sweepInterval is how often ejections and slow starts are applied.
-	sweepInterval = 100 * time.Millisecond
-	// probeInterval is how often a service looks for a backend server that is
-	// worth a probe; the budget bounds what is sent.
-	probeInterval = 10 * time.Millisecond
+	// tickInterval and roundTicks spread the periodic work: each tick visits
+	// one part of the services, so that each is visited once in 100 ms.
+	tickInterval = 10 * time.Millisecond
+	roundTicks   = 10
+	// idleAfter is how long after its last attempt a service counts as idle.
+	// An idle service is not probed, because nobody uses the reports, and is
+	// visited only in every idleRounds-th round.
+	idleAfter  = time.Second
+	idleRounds = 10
 )
 
 // Options are what a Gateway works with.
@@ -69,7 +73,7 @@
 	start    time.Time
 	prefix   string
 	sequence atomic.Uint64
-	services atomic.Pointer[map[string]*service]
+	services atomic.Pointer[services]
 	updateMu sync.Mutex // serialises changes of services
 	list     []platform.Instance
 
@@ -90,7 +94,7 @@
 		prefix:   fmt.Sprintf("%s-%016x-", o.Instance, o.Incarnation),
 		accepted: o.Scope.Counter("requests_accepted"),
 	}
-	g.services.Store(&map[string]*service{})
+	g.services.Store(&services{})
 	o.Store.Subscribe(g.adopt)
 	return g
 }
@@ -102,7 +106,7 @@
 }
 
 func (g *Gateway) service(name string) *service {
-	return (*g.services.Load())[name]
+	return g.services.Load().byName[name]
 }
 
 func (g *Gateway) ready() (bool, string) {
@@ -135,10 +139,10 @@
 		}
 		next[name] = s
 	}
-	old := *g.services.Load()
-	g.services.Store(&next)
-	for name, s := range old {
-		if next[name] == nil {
+	old := g.services.Load().list
+	g.services.Store(newServices(next))
+	for _, s := range old {
+		if next[s.name] == nil {
 			s.pool.Close()
 		}
 	}
@@ -178,30 +182,8 @@
 			leaving[i.Service] = append(leaving[i.Service], i.Address)
 		}
 	}
-	for name, s := range *g.services.Load() {
-		s.update(live[name], leaving[name])
-	}
-}
-
-// Run sweeps and probes until the context ends.
-func (g *Gateway) Run(ctx context.Context) {
-	sweep := time.NewTicker(sweepInterval)
-	defer sweep.Stop()
-	probe := time.NewTicker(probeInterval)
-	defer probe.Stop()
-	var probes sync.WaitGroup
-	defer probes.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-sweep.C:
-			for _, s := range *g.services.Load() {
-				s.sweep()
-			}
-		case <-probe.C:
-			g.probe(ctx, &probes)
-		}
+	for _, s := range g.services.Load().list {
+		s.update(live[s.name], leaving[s.name])
 	}
 }
 
@@ -221,7 +203,7 @@
 
 // Close closes the connections to backend servers.
 func (g *Gateway) Close() {
-	for _, s := range *g.services.Load() {
+	for _, s := range g.services.Load().list {
 		s.pool.Close()
 	}
 }
--- /dev/null
+++ b/pkg/gateway/loop.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// services are the services of the settings in force.
+type services struct {
+	byName map[string]*service
+	list   []*service // in the order of the names
+}
+
+func newServices(byName map[string]*service) *services {
+	out := &services{byName: byName}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		out.list = append(out.list, byName[name])
+	}
+	return out
+}
+
+// part returns the services whose turn is at a tick.
+func (s *services) part(tick int) []*service {
+	n, i := len(s.list), tick%roundTicks
+	return s.list[n*i/roundTicks : n*(i+1)/roundTicks]
+}
+
+// Run sweeps and probes until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var probes sync.WaitGroup
+	defer probes.Wait()
+	for tick := 0; ; tick++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.visit(ctx, tick, &probes)
+		}
+	}
+}
+
+// visit does the periodic work of the services whose turn it is. While another
+// instance states the same ordinal, both would use one share of the probe
+// budget, so none are sent.
+func (g *Gateway) visit(ctx context.Context, tick int, probes *sync.WaitGroup) {
+	suspended := g.o.OrdinalConflict()
+	isSlowRound := tick/roundTicks%idleRounds == 0
+	for _, s := range g.services.Load().part(tick) {
+		idle := s.isIdle()
+		if idle && !isSlowRound {
+			continue
+		}
+		s.sweep()
+		s.budgets.Suspend(suspended)
+		if !idle {
+			s.sendProbes(ctx, probes)
+		}
+	}
+}
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -9,20 +9,14 @@
 	"lentilpin/pkg/transport"
 )
 
-// probe sends the probes that are due. The budget of each service bounds them;
-// while another instance states the same ordinal, both would use one share, so
-// none are sent.
-func (g *Gateway) probe(ctx context.Context, running *sync.WaitGroup) {
-	suspended := g.o.OrdinalConflict()
-	for _, s := range *g.services.Load() {
-		s.budgets.Suspend(suspended)
-		for {
-			server, ok := s.prober.Next(g.now())
-			if !ok {
-				break
-			}
-			running.Go(func() { s.probe(ctx, server) })
+// sendProbes sends the probes that are due; the budget bounds them.
+func (s *service) sendProbes(ctx context.Context, running *sync.WaitGroup) {
+	for {
+		server, ok := s.prober.Next(s.now())
+		if !ok {
+			return
 		}
+		running.Go(func() { s.probe(ctx, server) })
 	}
 }
 
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -32,6 +32,8 @@
 	budgets    *measure.Budgets
 	prober     *measure.Prober
 
+	lastUse atomic.Int64 // time of the last attempt
+
 	limitsMu sync.Mutex
 	limits   map[*routing.Server]*limit.Concurrency
 
@@ -63,6 +65,7 @@
 		retried:    scope.Counter("retries"),
 	}
 	s.settings.Store(settings)
+	s.lastUse.Store(-int64(idleAfter) - 1)
 	s.pool = transport.NewPool(transport.Options{Settings: s.settings.Load, Recorder: rec, Dial: g.o.dial})
 	return s, nil
 }
@@ -110,6 +113,7 @@
 // queue that may now find capacity.
 func (s *service) finish(server *routing.Server, latency time.Duration, o routing.Outcome) {
 	now := s.now()
+	s.lastUse.Store(int64(now))
 	server.End(now, latency, o)
 	if o != routing.Canceled {
 		s.outliers.Record(now, server.Address(), latency, o)
@@ -129,6 +133,10 @@
 	return c
 }
 
+func (s *service) isIdle() bool {
+	return s.now()-time.Duration(s.lastUse.Load()) > idleAfter
+}
+
 // sweep applies ejections, drains and slow starts to the routing weights.
 func (s *service) sweep() {
 	for _, change := range s.outliers.Sweep(s.now()) {
--- a/pkg/gateway/source.go
+++ b/pkg/gateway/source.go
@@ -22,9 +22,9 @@
 func (s *Source) Drains() []*peerpb.DrainMark {
 	var out []*peerpb.DrainMark
 	now := s.g.now()
-	for name, svc := range *s.g.services.Load() {
+	for _, svc := range s.g.services.Load().list {
 		for _, m := range svc.outliers.Marks(now) {
-			out = append(out, &peerpb.DrainMark{Service: name, Address: m.Address, AgeMs: uint32((now - m.Seen).Milliseconds())})
+			out = append(out, &peerpb.DrainMark{Service: svc.name, Address: m.Address, AgeMs: uint32((now - m.Seen).Milliseconds())})
 		}
 	}
 	return out
@@ -33,9 +33,9 @@
 // Quarantines implements membership.Source.
 func (s *Source) Quarantines() []*peerpb.Quarantine {
 	var out []*peerpb.Quarantine
-	for name, svc := range *s.g.services.Load() {
+	for _, svc := range s.g.services.Load().list {
 		for _, e := range svc.quarantine.Active(s.g.now()) {
-			out = append(out, &peerpb.Quarantine{Service: name, Fingerprint: e.Fingerprint, RemainingMs: uint32(e.Remaining.Milliseconds())})
+			out = append(out, &peerpb.Quarantine{Service: svc.name, Fingerprint: e.Fingerprint, RemainingMs: uint32(e.Remaining.Milliseconds())})
 		}
 	}
 	return out
@@ -45,11 +45,11 @@
 func (s *Source) Reports() []*peerpb.LoadReport {
 	var out []*peerpb.LoadReport
 	now := s.g.now()
-	for name, svc := range *s.g.services.Load() {
+	for _, svc := range s.g.services.Load().list {
 		maxAge := dynamic.MS(svc.settings.Load().Routing.ReportMaxAgeMS)
 		for _, r := range svc.set.Reports(now, maxAge) {
 			out = append(out, &peerpb.LoadReport{
-				Service: name, Address: r.Address,
+				Service: svc.name, Address: r.Address,
 				Inflight: uint32(r.Report.Inflight), Queued: uint32(r.Report.Queued), Slots: uint32(r.Report.Slots),
 				LatencyMs: float32(r.Report.Latency.Seconds() * 1000), AgeMs: uint32(r.Age.Milliseconds()),
 			})
@@ -62,7 +62,7 @@
 // dropped: the sender may have newer settings.
 func (s *Source) Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine, reports []*peerpb.LoadReport) {
 	now := s.g.now()
-	services := *s.g.services.Load()
+	services := s.g.services.Load().byName
 	for _, d := range drains {
 		if svc := services[d.GetService()]; svc != nil {
 			svc.outliers.Merge(now, now-ms(d.GetAgeMs()), d.GetAddress(), "peer")
