--- /dev/null
+++ b/pkg/ctl/ctl_test.go
@@ -0,0 +1,284 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/ctl"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/operator"
+	"lentilpin/pkg/operator/operatortest"
+)
+
+const credential = "0123456789abcdef"
+
+var testChange = events.NewChange(9921, logrus.InfoLevel, "ctl_test_change", "a change")
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// newEntry starts the operator interface of an entry and returns its address.
+func newEntry(t *testing.T, v *operatortest.View) string {
+	if v.Records == nil {
+		v.Records = audit.New(10, 2)
+	}
+	s := httptest.NewServer(operator.New(operator.Options{View: v, Credential: credential, Metrics: http.NotFoundHandler(), Recorder: events.Discard{}}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// newSilent returns an address that accepts connections and never answers.
+func newSilent(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+func newViews() []*operatortest.View {
+	start := operatortest.Start
+	one := &operatortest.View{
+		Name: "e-1",
+		BackendsOf: map[string][]operator.Backend{"varasto": {
+			{Address: "10.0.0.1:80", State: "ejected", StateReason: "error_ratio", Reasons: []string{"weight 0: ejected or draining"}, Remaining: 3 * time.Second, Picks: 10},
+			{Address: "10.0.0.2:80", State: "healthy", Weight: 1, Picks: 90},
+		}},
+		SettingsOf: map[string]operator.Settings{"varasto": {Service: "varasto", Region: "finland", Version: 3, Values: []operator.Value{{Path: "timeoutMs", Value: "300", Origin: "fleet"}}}},
+		Own:        operator.Instances{Ready: true, Version: 3, Digest: "aabbccddee", Confirmed: true, By: "peer", Members: []operator.Member{{Instance: "e-9", Incarnation: "09", Phase: "left"}}},
+		Drains:     []operator.Drain{{Service: "varasto", Address: "10.0.0.2:80", Source: "response", Age: 2 * time.Second}},
+		Measurements: []operator.Measuring{{Service: "varasto", Since: time.Now().Add(-100 * time.Second),
+			All: operator.Probes{BudgetPerSecond: 20, Sent: 500}}},
+	}
+	two := &operatortest.View{
+		Name:       "e-2",
+		BackendsOf: map[string][]operator.Backend{"varasto": {{Address: "10.0.0.1:80", State: "healthy", Weight: 1, Picks: 100}}},
+		SettingsOf: map[string]operator.Settings{"varasto": {Service: "varasto", Region: "finland", Version: 2}},
+		Own:        operator.Instances{Reason: "unconfirmed", Version: 2, Digest: "00112233", By: "paused"},
+		Drains:     []operator.Drain{{Service: "varasto", Address: "10.0.0.2:80", Source: "peer", Age: time.Second}},
+	}
+	one.Records, two.Records = audit.New(10, 2), audit.New(10, 2)
+	one.Records.Request(audit.Record{RequestID: "e-1-a/1", Service: "varasto", Method: "GET", Outcome: audit.Answered, Run: audit.Ran, Status: 200, Start: start,
+		Attempts: []audit.Attempt{{Backend: "10.0.0.1:80", Result: "broken", Duration: time.Millisecond}, {Backend: "10.0.0.2:80", Result: "success"}}})
+	for _, v := range []*operatortest.View{one, two} {
+		v.Records.Request(audit.Record{RequestID: "x", Service: "varasto", Reason: "queue_full", Run: audit.NotRun, Outcome: audit.OutcomeNotRun, Start: time.Now()})
+		for i := range 3 {
+			v.Records.Record(testChange, events.F("n", i))
+		}
+	}
+	return []*operatortest.View{one, two}
+}
+
+func run(args ...string) (code int, out string) {
+	o, err := ctl.ParseArgs(args)
+	if err != nil {
+		return 2, err.Error()
+	}
+	var b bytes.Buffer
+	code = ctl.Run(context.Background(), o, &b)
+	return code, b.String()
+}
+
+// Guards against answers that leave out what an entry said, and against exit
+// codes that differ between commands for the same outcome.
+func TestQuestions(t *testing.T) {
+	t.Setenv(ctl.CredentialVariable, credential)
+	var addresses []string
+	for _, v := range newViews() {
+		addresses = append(addresses, newEntry(t, v))
+	}
+	all := strings.Join(addresses, ",")
+	tests := []struct {
+		desc string
+		args []string
+		code int
+		want []string
+	}{
+		{"request", []string{"request", "e-1-a/1"}, 0, []string{"request e-1-a/1 at e-1", "outcome answered, run ran, status 200", "1        10.0.0.1:80", "broken", "unknown at e-2: no record"}},
+		{"request nobody knows", []string{"request", "none"}, 5, []string{"unknown at e-1", "unknown at e-2", "records reach back to"}},
+		{"refusals", []string{"refusals", "--minutes", "5"}, 0, []string{"2 refused", "2      varasto  queue_full  not_run  e-1, e-2"}},
+		{"backend", []string{"backend", "varasto", "10.0.0.1:80"}, 0, []string{"ejected (error_ratio)", "e-1: weight 0", "e-2: nothing holds work back"}},
+		{"backend that one knows", []string{"backend", "varasto", "10.0.0.2:80"}, 0, []string{"e-1", "unknown at e-2"}},
+		{"backends", []string{"backend", "varasto"}, 0, []string{"2 backend servers as seen by 2 entries", "55.0%", "2 of 2", "ejected (error_ratio) at 1, healthy at 1"}},
+		{"unknown service", []string{"backend", "none"}, 5, []string{"no service none"}},
+		{"settings", []string{"settings", "varasto"}, 0, []string{"ENTRIES DIFFER: 2", "timeoutMs  300    fleet", "version 2"}},
+		{"unknown settings", []string{"settings", "none"}, 5, nil},
+		{"instances", []string{"instances"}, 0, []string{"NO: unconfirmed", "NO: paused", "version 3 (aabbccdd) is in force at 1 of 2", "e-9"}},
+		{"draining", []string{"draining"}, 0, []string{"1s ago", "peer", "2 of 2: e-1, e-2"}},
+		{"measuring", []string{"measuring"}, 0, []string{"500", "20.00", "25.0%"}},
+		{"audit", []string{"audit"}, 0, []string{"ctl_test_change", "n=2", "e-2: 1 changes have fallen off", "4 changes at 2 entries"}},
+		{"audit in parts", []string{"audit", "--after", "1", "--limit", "1"}, 0, []string{"e-1: 1 more changes, use --after 2"}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			code, out := run(append(tc.args, "--entries", all)...)
+			require.Equal(t, tc.code, code, out)
+			for _, w := range tc.want {
+				require.Contains(t, out, w)
+			}
+			jsonCode, text := run(append(tc.args, "--json", "--entries", all)...)
+			require.Equal(t, code, jsonCode)
+			var r struct {
+				Complete bool
+				ExitCode int `json:"exit_code"`
+				Replies  []struct{ Address, Status string }
+			}
+			require.NoError(t, json.Unmarshal([]byte(text), &r))
+			require.Equal(t, []any{true, code, 2}, []any{r.Complete, r.ExitCode, len(r.Replies)})
+		})
+	}
+}
+
+// Guards against an entry that did not answer and is left out, and against a
+// "nobody knows" although somebody was not heard.
+func TestUnanswered(t *testing.T) {
+	t.Setenv(ctl.CredentialVariable, credential)
+	entry, silent := newEntry(t, newViews()[0]), newSilent(t)
+	garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/v1/") {
+			_, _ = io.WriteString(w, "<html>")
+		}
+	}))
+	t.Cleanup(garbage.Close)
+	garbled := strings.TrimPrefix(garbage.URL, "http://")
+	redirect := httptest.NewServer(http.RedirectHandler("http://"+entry+"/v1/instances", http.StatusFound))
+	t.Cleanup(redirect.Close)
+	elsewhere := strings.TrimPrefix(redirect.URL, "http://")
+	other := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(other.Close)
+	pathless := strings.TrimPrefix(other.URL, "http://")
+	tests := []struct {
+		desc    string
+		entries string
+		args    []string
+		code    int
+		missing string
+	}{
+		{"silent", entry + "," + silent, []string{"draining", "--timeout", "1s"}, 4, "NO ANSWER from " + silent + ": no answer within 1s"},
+		{"silent and unknown", entry + "," + silent, []string{"request", "none", "--timeout", "1s"}, 4, "NO ANSWER from " + silent},
+		{"only silent", silent, []string{"instances", "--timeout", "100ms"}, 1, "NO ANSWER from " + silent},
+		{"something else", entry + "," + garbled, []string{"instances"}, 4, "NO ANSWER from " + garbled + ": the reply is not from"},
+		{"no operator interface", entry + "," + pathless, []string{"request", "none"}, 4, "NO ANSWER from " + pathless + ": Not Found"},
+		{"redirect", entry + "," + elsewhere, []string{"instances"}, 4, "NO ANSWER from " + elsewhere + ": Found"},
+		{"all but one", silent + "," + pathless + "," + entry, []string{"instances", "--timeout", "1s"}, 4, "2 of 3 entries are missing"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			code, out := run(append(tc.args, "--entries", tc.entries)...)
+			require.Equal(t, tc.code, code, out)
+			require.Contains(t, out, tc.missing)
+		})
+	}
+	t.Setenv(ctl.CredentialVariable, "wrong-credential")
+	code, out := run("instances", "--entries", entry)
+	require.Equal(t, 1, code)
+	require.Contains(t, out, "credential is missing or wrong")
+	require.NotContains(t, out, "wrong-credential")
+}
+
+// Guards against a credential that is taken from the wrong place or shown, and
+// against values that are used although they are wrong.
+func TestOptions(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	secret := file("secret", "from-the-file\n")
+	plain := file("plain.json", `{"entries":["127.0.0.1:1"],"credential":"from-the-settings"}`)
+	pointer := file("pointer.json", `{"entries":["127.0.0.1:1","[::1]:2"],"credentialFile":"`+secret+`"}`)
+	bad := file("bad.json", `{"entries":["127.0.0.1:1"],"credential":"short"}`)
+	tests := []struct {
+		desc, env  string
+		args       []string
+		credential string
+		err        string
+	}{
+		{"environment", "from-env", []string{"instances", "-e", "127.0.0.1:1"}, "from-env", ""},
+		{"file before environment", "from-env", []string{"instances", "-e", "127.0.0.1:1", "-c", secret}, "from-the-file", ""},
+		{"environment before settings", "from-env", []string{"-s", plain, "instances"}, "from-env", ""},
+		{"settings", "", []string{"-s", plain, "instances"}, "from-the-settings", ""},
+		{"file named in the settings", "", []string{"instances", "-s", pointer}, "from-the-file", ""},
+		{"none", "", []string{"instances", "-e", "127.0.0.1:1"}, "", "no credential"},
+		{"no entries", "x", []string{"instances"}, "", "no entries"},
+		{"wrong address", "x", []string{"instances", "-e", "nowhere"}, "", `--entries: value "nowhere"`},
+		{"wrong settings", "", []string{"instances", "-s", bad}, "", "/credential: value (secret)"},
+		{"no settings file", "", []string{"instances", "-s", dir + "/none"}, "", "--settings"},
+		{"no credential file", "", []string{"instances", "-e", "127.0.0.1:1", "-c", dir + "/none"}, "", "credential file"},
+		{"wrong minutes", "x", []string{"refusals", "-e", "127.0.0.1:1", "-m", "0"}, "", "--minutes: value 0"},
+		{"wrong limit", "x", []string{"audit", "-e", "127.0.0.1:1", "-l", "0"}, "", "--limit: value 0"},
+		{"wrong timeout", "x", []string{"instances", "-e", "127.0.0.1:1", "-t", "0s"}, "", "--timeout: value 0s"},
+		{"no command", "x", nil, "", "no command"},
+		{"no credential needed", "", []string{"check", "tree.json"}, "", ""},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			t.Setenv(ctl.CredentialVariable, tc.env)
+			o, err := ctl.ParseArgs(tc.args)
+			if tc.err != "" {
+				require.ErrorContains(t, err, tc.err)
+				require.NotContains(t, err.Error(), "short")
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tc.credential, o.Credential)
+		})
+	}
+}
+
+// Guards against a tree that passes although entries would refuse it, errors
+// without path, value and rule, and changes that are not shown.
+func TestTrees(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	old := file("old", `{"version":3,"regions":{"r":{"services":{"maksu":{},"varasto":{"timeoutMs":300},"tilaus":{}}}}}`)
+	next := file("next", `{"version":4,"regions":{"r":{"services":{"maksu":{},"varasto":{"timeoutMs":400,"queue":{"maxWaitMs":7}},"toimitus":{}}}}}`)
+	same := file("same", `{"version":3,"regions":{"r":{"services":{"maksu":{}}}}}`)
+	bad := file("bad", `{"version":3,"regions":{"r":{"services":{"maksu":{"timeoutMs":0}}}}}`)
+	broken := file("broken", `{`)
+	tests := []struct {
+		desc string
+		args []string
+		code int
+		want []string
+	}{
+		{"valid", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "44", "region/r/service/varasto"}},
+		{"rule broken", []string{"check", bad}, 2, []string{"/regions/r/services/maksu/timeoutMs", "0", "minimum"}},
+		{"no JSON", []string{"check", broken}, 2, []string{"parse JSON"}},
+		{"no file", []string{"check", dir + "/none"}, 1, []string{"no such file"}},
+		{"diff", []string{"diff", old, next}, 0, []string{"toimitus", "added", "removed", "timeoutMs", "300", "400", "queue.maxWaitMs", "built-in"}},
+		{"lower version", []string{"diff", next, old}, 0, []string{"version 3 is below 4"}},
+		{"same version", []string{"diff", old, same}, 0, []string{"both have version 3"}},
+		{"no difference", []string{"diff", old, old}, 0, []string{"0"}},
+		{"diff with a bad tree", []string{"diff", old, bad}, 2, []string{"timeoutMs", "minimum"}},
+	}
+	for _, tc := range tests {
+		for _, args := range [][]string{tc.args, append(tc.args, "--json")} {
+			t.Run(tc.desc, func(t *testing.T) {
+				code, out := run(args...)
+				require.Equal(t, tc.code, code, out)
+				for _, w := range tc.want {
+					require.Contains(t, out, w)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/ctl/options.go
@@ -0,0 +1,198 @@
+package ctl
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"lentilpin/pkg/buildinfo"
+	"lentilpin/pkg/config/schema"
+	"lentilpin/pkg/operator"
+)
+
+// CredentialVariable is the environment variable that may hold the credential.
+const CredentialVariable = "LENTILPINCTL_CREDENTIAL"
+
+const (
+	defaultTimeout = 3 * time.Second
+	defaultMinutes = 60
+	defaultLimit   = 1000
+)
+
+//go:embed settings.schema.json
+var settingsSchemaText []byte
+
+var settingsSchema = schema.MustCompile("lentilpinctl.json", settingsSchemaText, "credential")
+
+// Options are one call of lentilpinctl.
+type Options struct {
+	Command    string
+	Arguments  []string
+	Entries    []string // operator addresses
+	Credential string
+	Timeout    time.Duration // default 3 s
+	Minutes    int           // refusals; default 60
+	After      uint64        // audit; default 0
+	Limit      int           // audit, per entry; default 1000
+	JSON       bool
+}
+
+// command is one subcommand with the names of its arguments. An argument in
+// brackets may be left out.
+type command struct {
+	name, description string
+	arguments         []string
+	local             bool // asks no entry
+}
+
+var commands = []command{
+	{"request", "what happened to a request", []string{"ID"}, false},
+	{"refusals", "what was refused in the last minutes, by reason", nil, false},
+	{"backend", "why backend servers of a service get little work", []string{"SERVICE", "[ADDRESS]"}, false},
+	{"settings", "settings of a service in force and the origin of each value", []string{"SERVICE"}, false},
+	{"instances", "which versions are in force, since when, and who is ready", nil, false},
+	{"draining", "which backend servers are draining", nil, false},
+	{"measuring", "cost of measuring against its budget", nil, false},
+	{"audit", "what the instances changed on their own or adopted", nil, false},
+	{"check", "check a settings tree before publishing it", []string{"TREE"}, true},
+	{"diff", "what a new settings tree changes for each service", []string{"OLD", "NEW"}, true},
+}
+
+// flags are the values of the flags before they are checked.
+type flags struct {
+	entries, settings, credentialFile string
+	timeout                           time.Duration
+	minutes, limit                    int
+	after                             uint64
+	json                              bool
+}
+
+// ParseArgs reads the command line without the name of the program. Wrong
+// flags, --help and --version end the process as flaggy does, with exit code 2
+// for wrong flags. The error is about values or files and stands for exit code
+// 2 as well.
+func ParseArgs(args []string) (*Options, error) {
+	f := flags{timeout: defaultTimeout, minutes: defaultMinutes, limit: defaultLimit}
+	p := flaggy.NewParser("lentilpinctl")
+	p.Description = "asks entries what they did, refused and why; checks and compares settings trees"
+	p.Version = buildinfo.Version
+	p.AdditionalHelpAppend = "Exit codes: 0 done, 1 failed, 2 wrong flags or settings, 4 some entries did not answer, 5 nobody knows what was asked for."
+	p.String(&f.entries, "e", "entries", "operator addresses of the entries to ask, separated by commas")
+	p.String(&f.settings, "s", "settings", "settings file (JSON) with entries and credential or credentialFile")
+	p.String(&f.credentialFile, "c", "credential-file", "file that holds the operator credential; otherwise "+CredentialVariable+" or the settings file")
+	p.Duration(&f.timeout, "t", "timeout", "time that each entry has to answer")
+	p.Bool(&f.json, "j", "json", "JSON for programs instead of text")
+	used := make([]*flaggy.Subcommand, len(commands))
+	values := make([][]string, len(commands))
+	for i, c := range commands {
+		used[i] = flaggy.NewSubcommand(c.name)
+		used[i].Description = c.description
+		values[i] = make([]string, len(c.arguments))
+		for j, a := range c.arguments {
+			name := strings.Trim(a, "[]")
+			used[i].AddPositionalValue(&values[i][j], name, j+1, name == a, strings.ToLower(name))
+		}
+		switch c.name {
+		case "refusals":
+			used[i].Int(&f.minutes, "m", "minutes", fmt.Sprintf("how far back, up to %d", operator.MaxMinutes))
+		case "audit":
+			used[i].UInt64(&f.after, "a", "after", "only entries with a higher sequence number")
+			used[i].Int(&f.limit, "l", "limit", fmt.Sprintf("most entries of one instance, up to %d", operator.MaxChanges))
+		}
+		p.AttachSubcommand(used[i], 1)
+	}
+	if err := p.ParseArgs(args); err != nil {
+		return nil, err
+	}
+	for i, c := range commands {
+		if used[i].Used {
+			return f.options(c, values[i])
+		}
+	}
+	return nil, errors.New("no command given; --help lists them")
+}
+
+func (f *flags) options(c command, arguments []string) (*Options, error) {
+	o := &Options{
+		Command: c.name, Timeout: f.timeout, Minutes: f.minutes, After: f.after, Limit: f.limit, JSON: f.json,
+	}
+	for _, a := range arguments {
+		if a != "" {
+			o.Arguments = append(o.Arguments, a)
+		}
+	}
+	if c.local {
+		return o, nil
+	}
+	switch {
+	case f.timeout <= 0:
+		return nil, errors.Errorf("--timeout: value %s: must be above 0", f.timeout)
+	case f.minutes < 1 || f.minutes > operator.MaxMinutes:
+		return nil, errors.Errorf("--minutes: value %d: must be from 1 to %d", f.minutes, operator.MaxMinutes)
+	case f.limit < 1 || f.limit > operator.MaxChanges:
+		return nil, errors.Errorf("--limit: value %d: must be from 1 to %d", f.limit, operator.MaxChanges)
+	}
+	if f.entries != "" {
+		o.Entries = strings.Split(f.entries, ",")
+	}
+	if err := f.readCredential(o); err != nil {
+		return nil, err
+	}
+	if len(o.Entries) == 0 {
+		return nil, errors.New("no entries to ask; use --entries or --settings")
+	}
+	for _, e := range o.Entries {
+		if _, _, err := net.SplitHostPort(e); err != nil {
+			return nil, errors.Errorf("--entries: value %q: must be IP:port", e)
+		}
+	}
+	if o.Credential == "" {
+		return nil, errors.Errorf("no credential; use --credential-file, %s or --settings", CredentialVariable)
+	}
+	return o, nil
+}
+
+// readCredential finds the credential, and the entries where the settings file
+// is the one that names them. No error shows the credential.
+func (f *flags) readCredential(o *Options) error {
+	o.Credential = os.Getenv(CredentialVariable)
+	file := f.credentialFile
+	if f.settings != "" {
+		var s struct {
+			Entries                    []string
+			Credential, CredentialFile string
+		}
+		text, err := os.ReadFile(f.settings)
+		if err != nil {
+			return errors.Wrap(err, "--settings")
+		}
+		if _, err := settingsSchema.Check(text); err != nil {
+			return errors.Wrap(err, f.settings)
+		}
+		if err := json.Unmarshal(text, &s); err != nil {
+			return errors.Wrap(err, f.settings)
+		}
+		if len(o.Entries) == 0 {
+			o.Entries = s.Entries
+		}
+		if o.Credential == "" && file == "" {
+			o.Credential, file = s.Credential, s.CredentialFile
+		}
+	}
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "credential file")
+	}
+	o.Credential = strings.TrimSpace(string(text))
+	return nil
+}
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -25,14 +25,18 @@
 	maxHeaderBytes = 16 << 10
 
 	defaultMinutes = 60
-	maxMinutes     = 24 * 60
 	defaultChanges = 1000
-	maxChanges     = 10000
 
 	// refusedInterval bounds the log lines that wrong credentials can cause.
 	refusedInterval = 10 * time.Second
 )
 
+// Bounds of the parameters of questions.
+const (
+	MaxMinutes = 24 * 60 // refusals
+	MaxChanges = 10000   // audit
+)
+
 // ProblemUnknown is the type of a problem that says that this entry does not
 // know what was asked for, as opposed to a path that does not exist.
 const ProblemUnknown = "urn:lentilpin:operator:unknown"
@@ -93,8 +97,6 @@
 	v1.GET("/draining", func(c echo.Context) error { return reply(h, c, o.View.Draining()) })
 	v1.GET("/measuring", func(c echo.Context) error { return reply(h, c, o.View.Measuring()) })
 	v1.GET("/audit", h.audit)
-	// Without it a wrong path would be answered before the credential is checked.
-	v1.Any("/*", func(echo.Context) error { return echo.ErrNotFound })
 	return e
 }
 
@@ -148,7 +150,7 @@
 }
 
 func (h *handler) refusals(c echo.Context) error {
-	minutes, err := number(c, "minutes", defaultMinutes, 1, maxMinutes)
+	minutes, err := number(c, "minutes", defaultMinutes, 1, MaxMinutes)
 	if err != nil {
 		return err
 	}
@@ -205,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	limit, err := number(c, "limit", defaultChanges, 1, maxChanges)
+	limit, err := number(c, "limit", defaultChanges, 1, MaxChanges)
 	if err != nil {
 		return err
 	}
