--- a/pkg/gateway/order.go
+++ b/pkg/gateway/order.go
@@ -105,7 +105,11 @@
 // one may have run it. claim is nil for a request without a key.
 func (c *call) orderAttempts(ctx context.Context, claim *ledger.Claim) result {
 	var tried []*routing.Server
-	for range c.settings.Retry.MaxAttempts {
+	c.svc.retries.Request(c.g.now())
+	for i := range c.settings.Retry.MaxAttempts {
+		if i > 0 && !c.svc.retries.Take(c.g.now()) {
+			break
+		}
 		server, refusal := c.pick(ctx, tried)
 		if refusal != nil {
 			c.settle(claim, peerpb.Run_RUN_NOT_RUN, nil)
--- a/pkg/gateway/problem.go
+++ b/pkg/gateway/problem.go
@@ -14,6 +14,7 @@
 	headerKey            = "Lentilpin-Key"
 	headerRun            = "Lentilpin-Run"
 	headerTimeout        = "Request-Timeout"
+	headerForwardedFor   = "X-Forwarded-For"
 )
 
 // Problem is the body of a refusal, problem details as in RFC 9457 with
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -28,11 +28,17 @@
 	ctx      context.Context
 	results  chan *attempt
 	tried    []*routing.Server
-	pending  map[*routing.Server]context.CancelFunc
+	pending  map[*routing.Server]underway
 	started  int
 	fallback *attempt // an error response, passed on if nothing better comes
 }
 
+// underway is an attempt whose result has not arrived.
+type underway struct {
+	cancel context.CancelFunc
+	start  time.Time
+}
+
 // launch starts one more attempt at a server not tried yet. It waits in the
 // queue where none has capacity.
 func (rd *reader) launch() *result {
@@ -47,9 +53,9 @@
 func (rd *reader) start(server *routing.Server) {
 	ctx, cancel := context.WithCancel(rd.ctx)
 	if rd.pending == nil {
-		rd.pending = make(map[*routing.Server]context.CancelFunc, 1)
+		rd.pending = make(map[*routing.Server]underway, 1)
 	}
-	rd.pending[server] = cancel
+	rd.pending[server] = underway{cancel, time.Now()}
 	rd.tried = append(rd.tried, server)
 	rd.started++
 	go func() {
@@ -162,8 +168,13 @@
 	if left == 0 {
 		return
 	}
-	for _, cancel := range rd.pending {
-		cancel()
+	for server, u := range rd.pending {
+		u.cancel()
+		rd.rec.Attempts = append(rd.rec.Attempts, audit.Attempt{
+			Backend: server.Address(), FailureDomain: server.FailureDomain(),
+			Offset: u.start.Sub(rd.call.started), Duration: time.Since(u.start),
+			Result: outcomeWords[routing.Canceled],
+		})
 	}
 	c := &call{g: rd.g, svc: rd.svc, settings: rd.settings, started: rd.call.started, print: rd.print}
 	rd.g.background.Go(func() {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +16,13 @@
 	"lentilpin/pkg/quarantine"
 )
 
+const (
+	// writeGrace is given to the caller after its deadline to take a response.
+	writeGrace = time.Second
+	// refusalWriteTime bounds the response to a request without a deadline.
+	refusalWriteTime = 10 * time.Second
+)
+
 // call is one request of a caller on its way through the gateway.
 type call struct {
 	g        *Gateway
@@ -40,6 +48,8 @@
 		c.rec.KeyState = keyOpen
 	}
 	w.Header().Set(headerRequestID, c.id)
+	// net/http keeps the deadline of the former request on this connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.started.Add(refusalWriteTime))
 	g.accepted.Inc(1)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
@@ -114,6 +124,7 @@
 	if res, ok := c.readBody(); !ok {
 		return res, false
 	}
+	c.announce()
 	c.print = quarantine.Fingerprint(c.r.Method, c.target, c.body)
 	if c.svc.quarantine.Blocked(c.g.now(), c.print) {
 		return c.refuseUnclaimed(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"), false
@@ -121,6 +132,21 @@
 	return result{}, true
 }
 
+// announce adds what the backend server should know of the caller and of this
+// request, before the first attempt reads the header.
+func (c *call) announce() {
+	h := c.r.Header
+	h.Set(headerRequestID, c.id)
+	address, _, err := net.SplitHostPort(c.r.RemoteAddr)
+	if err != nil {
+		return
+	}
+	if before := h.Get(headerForwardedFor); before != "" {
+		address = before + ", " + address
+	}
+	h.Set(headerForwardedFor, address)
+}
+
 func (c *call) resolveDeadline() (result, bool) {
 	timeout := c.settings.Timeout()
 	if text := c.r.Header.Get(headerTimeout); text != "" {
@@ -131,6 +157,9 @@
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	c.deadline = c.started.Add(timeout)
+	// A caller that does not read its response must not hold the request for
+	// ever. Recorders in tests have no deadline, hence no error check.
+	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
 	return result{}, true
 }
 
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -95,6 +95,7 @@
 	for _, a := range leaving {
 		s.outliers.Drain(now, a, "list")
 	}
+	s.forgetLimits()
 	s.sweep()
 }
 
@@ -137,6 +138,18 @@
 	return s.now()-time.Duration(s.lastUse.Load()) > idleAfter
 }
 
+// forgetLimits drops the limits of backend servers that have left the list;
+// thousands are replaced every day.
+func (s *service) forgetLimits() {
+	s.limitsMu.Lock()
+	defer s.limitsMu.Unlock()
+	for server := range s.limits {
+		if s.set.Server(server.Address()) != server {
+			delete(s.limits, server)
+		}
+	}
+}
+
 // sweep applies ejections, drains and slow starts to the routing weights.
 func (s *service) sweep() {
 	for _, change := range s.outliers.Sweep(s.now()) {
