--- a/pkg/ledger/claimant.go
+++ b/pkg/ledger/claimant.go
@@ -197,8 +197,11 @@
 		} else {
 			resp, err = c.peers.Claim(ctx, target, req)
 		}
+		if err == nil && !movedOn(resp) {
+			break
+		}
 		next := c.successor(g, target)
-		if next == target || err == nil && !movedOn(resp) {
+		if next == target {
 			break
 		}
 		target = next
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,9 +16,9 @@
 )
 
 const (
-	// chunkBytes bounds the records of one handover message; the message bound
-	// of package peer is 1 MiB and the rest is room for its other fields.
-	chunkBytes = 960 << 10
+	// defaultChunkBytes bounds the records of one handover message; the message
+	// bound of package peer is 1 MiB and the rest is room for its other fields.
+	defaultChunkBytes = 960 << 10
 	// maxPending bounds the ledgers that are received at the same time.
 	maxPending = 4
 	// pendingAge is the time after which an incomplete ledger is dropped.
@@ -115,18 +117,20 @@
 		return o.handover.chunks
 	}
 	o.handover.exported = true
-	for incarnation, l := range o.ledgers() {
+	all := o.ledgers()
+	for _, incarnation := range slices.Sorted(maps.Keys(all)) {
+		l := all[incarnation]
 		o.advance(l, now)
 		if a := o.adopted[incarnation]; a != nil && l.watermark > a.sealedAt+2*maxLifetimeMS {
 			continue // every key of that incarnation has expired
 		}
-		o.handover.chunks = append(o.handover.chunks, export(incarnation, l, l.age(now))...)
+		o.handover.chunks = append(o.handover.chunks, export(incarnation, l, l.age(now), o.chunkBytes)...)
 	}
 	return o.handover.chunks
 }
 
 // export returns one ledger as messages.
-func export(incarnation uint64, l *records, age uint64) []*peerpb.HandoverRequest {
+func export(incarnation uint64, l *records, age uint64, limit int) []*peerpb.HandoverRequest {
 	var list []*peerpb.HandoverRequest
 	size := 0
 	next := func() *peerpb.HandoverRequest {
@@ -137,13 +141,15 @@
 		return m
 	}
 	m := next()
-	for seq, r := range l.bySeq {
+	// The order is fixed so that a failing run can be repeated from its seed.
+	for _, seq := range slices.Sorted(maps.Keys(l.bySeq)) {
+		r := l.bySeq[seq]
 		if r.expires <= l.watermark {
 			continue
 		}
 		record := r.message(seq)
 		n := proto.Size(record) + 8
-		if size+n > chunkBytes {
+		if size+n > limit {
 			m = next()
 		}
 		m.Records = append(m.Records, record)
--- a/pkg/ledger/owner.go
+++ b/pkg/ledger/owner.go
@@ -38,9 +38,9 @@
 
 // Owner issues keys and grants each of them at most once.
 type Owner struct {
-	options OwnerOptions
-	address netip.AddrPort
-	start   clock.Reading
+	options    OwnerOptions
+	address    netip.AddrPort
+	chunkBytes int
 
 	sequence  atomic.Uint64 // last issued
 	watermark atomic.Uint64 // copy of own.watermark for Issue
@@ -76,7 +76,7 @@
 	}
 	start := o.Clock.Read()
 	return &Owner{
-		options: o, start: start, own: newRecords(start, 0, 0),
+		options: o, chunkBytes: defaultChunkBytes, own: newRecords(start, 0, 0),
 		address: netip.AddrPortFrom(address.Addr().WithZone("").Unmap(), address.Port()),
 		adopted: map[uint64]*adoption{}, pending: map[uint64]*adoption{},
 	}
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -18,9 +18,10 @@
 // The largest message of any call bounds what the server buffers for a
 // connection; MaxConnections bounds the number of connections.
 //
-// Shutdown: when the context of Serve ends, the listener and all idle
-// connections are closed, calls in progress get their reply, and Serve returns
-// after the last of them. The longest call bounds that time.
+// Shutdown: when the context of Serve ends, the listener is closed, no further
+// call is accepted, calls in progress get their reply, and each connection is
+// closed a moment after its last reply. Serve returns after the last of them;
+// the longest call bounds that time.
 //
 // State: none beyond open connections. The tests run over loopback sockets.
 package peer
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -20,9 +20,14 @@
 // of file descriptors.
 const acceptPause = 100 * time.Millisecond
 
+// linger is the time between the last reply on a connection and its closing at
+// shutdown. A drpc client that meets the end of the connection before it has
+// taken the reply from its buffer drops the reply.
+const linger = 250 * time.Millisecond
+
 // Serve accepts connections of peers and passes their calls to s until the
-// context ends. It then closes the listener, lets the calls in progress finish
-// and returns nil. It returns an error if the listener fails for good.
+// context ends. It then closes the listener, accepts no further call, lets the
+// calls in progress finish and returns nil. It returns an error if the listener fails for good.
 func Serve(ctx context.Context, l net.Listener, s peerpb.DRPCPeerServer, o Options) error {
 	srv := &server{options: o.withDefaults(), mux: drpcmux.New(), open: map[*connection]struct{}{}}
 	if err := srv.mux.Register(s, description{options: srv.options}); err != nil {
@@ -77,7 +82,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	busy     bool // guarded by server.mu: a call is in progress
-	draining bool // guarded by server.mu: close at the end of the call
+	draining bool // guarded by server.mu: begin no further call
 }
 
 // end closes the connection for good. The context ends as well, because the
@@ -120,7 +125,7 @@
 	}
 }
 
-// drain closes idle connections and marks the others to be closed.
+// drain has every connection closed once it is idle for the linger time.
 func (s *server) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -128,7 +133,7 @@
 	for c := range s.open {
 		c.draining = true
 		if !c.busy {
-			c.end()
+			time.AfterFunc(linger, c.end)
 		}
 	}
 }
@@ -137,6 +142,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.busy = !c.draining
+	if c.draining {
+		c.end() // the caller has taken the last reply, or it would not call again
+	}
 	return c.busy
 }
 
@@ -145,7 +153,7 @@
 	defer s.mu.Unlock()
 	c.busy = false
 	if c.draining {
-		c.end()
+		time.AfterFunc(linger, c.end)
 	}
 }
 
