--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -61,26 +61,39 @@
 	runs    map[string]int // by token
 	arrived []*http.Request
 	conns   []net.Conn
+	onTaken func() // called after a fault was taken from the script
 }
 
 func (b *fakeBackend) next() fault {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.script) == 0 {
+	f, ok := b.take(func(fault) bool { return true })
+	if !ok {
 		return serve
 	}
-	f := b.script[0]
-	b.script = b.script[1:]
 	return f
 }
 
-func (b *fakeBackend) dial() (net.Conn, error) {
+// take removes the next fault of the script if it is wanted.
+func (b *fakeBackend) take(wanted func(fault) bool) (fault, bool) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	if len(b.script) > 0 && b.script[0] == refuse {
-		b.script = b.script[1:]
+	if len(b.script) == 0 || !wanted(b.script[0]) {
+		b.mu.Unlock()
+		return 0, false
+	}
+	f, after := b.script[0], b.onTaken
+	b.script = b.script[1:]
+	b.mu.Unlock()
+	if after != nil {
+		after()
+	}
+	return f, true
+}
+
+func (b *fakeBackend) dial() (net.Conn, error) {
+	if _, refused := b.take(func(f fault) bool { return f == refuse }); refused {
 		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	near, far := net.Pipe()
 	b.conns = append(b.conns, far)
 	go b.serveConn(far)
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/pkg/audit"
+)
+
+// setScript gives every backend server the same faults.
+func (f *fixture) setScript(faults ...fault) {
+	for _, b := range f.backends {
+		b.mu.Lock()
+		b.script = faults
+		b.mu.Unlock()
+	}
+}
+
+// failFirst gives the next attempt a fault, at whatever backend server.
+func (f *fixture) failFirst(ft fault) {
+	for _, b := range f.backends {
+		b.mu.Lock()
+		b.script = []fault{ft}
+		b.onTaken = func() {
+			for _, other := range f.backends {
+				if other != b {
+					other.mu.Lock()
+					other.script = nil
+					other.mu.Unlock()
+				}
+			}
+		}
+		b.mu.Unlock()
+	}
+	// The retry budget grows by one a second.
+	time.Sleep(2 * time.Second)
+}
+
+func (f *fixture) arrived() (all []*http.Request) {
+	for _, b := range f.backends {
+		b.mu.Lock()
+		all = append(all, b.arrived...)
+		b.mu.Unlock()
+	}
+	return all
+}
+
+// inBubble runs a test of one gateway in virtual time.
+func inBubble(t *testing.T, backends int, run func(*testing.T, *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, backends)
+		defer f.close()
+		run(t, f)
+	})
+}
+
+// Guards against a backend server that works on past the caller's deadline, and
+// against field values of a caller that reach it unchanged.
+func TestFieldsForTheBackendServer(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fixture) {
+		r := read("a")
+		r.Header.Set(headerTimeout, "700")
+		r.Header.Set(headerRequestID, "forged")
+		r.Header.Set(headerForwardedFor, "1.2.3.4")
+		r.RemoteAddr = "5.6.7.8:90"
+		got := f.send(f.gateways[0], r)
+		require.Equal(t, http.StatusOK, got.Code)
+		require.Len(t, f.arrived(), 1)
+		h := f.arrived()[0].Header
+		left, err := strconv.Atoi(h.Get(headerTimeout))
+		require.NoError(t, err)
+		require.LessOrEqual(t, left, 700)
+		require.Equal(t, got.Header().Get(headerRequestID), h.Get(headerRequestID))
+		require.Equal(t, "1.2.3.4, 5.6.7.8", h.Get(headerForwardedFor))
+	})
+}
+
+// Guards against wrong retries: each fault of the first backend server leads to
+// the run and the status that is true for it.
+func TestFirstAttemptFails(t *testing.T) {
+	tests := []struct {
+		desc        string
+		fault       fault
+		readStatus  int
+		orderStatus int
+		orderRun    string
+		orderRuns   int
+	}{
+		{"served", serve, 200, 200, "ran", 1},
+		{"shed before running", shed, 200, 200, "ran", 1},
+		{"connection refused", refuse, 200, 200, "ran", 1},
+		{"closed without reading", closeUnread, 200, 502, "unknown", 0},
+		{"closed after the run", closeAfterRun, 200, 502, "unknown", 1},
+		{"error status", serverError, 200, 500, "ran", 1},
+		{"503 without a statement", bareUnavailable, 200, 503, "unknown", 0},
+		{"silent", silent, 200, 504, "unknown", 1},
+	}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			inBubble(t, 2, func(t *testing.T, f *fixture) {
+				f.failFirst(tc.fault)
+				first := f.send(f.gateways[0], read("a"))
+				require.Equal(t, tc.readStatus, first.Code, first.Body.String())
+			})
+			inBubble(t, 2, func(t *testing.T, f *fixture) {
+				f.failFirst(tc.fault)
+				got := f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
+				require.Equal(t, tc.orderRun, got.Header().Get(headerRun), got.Body.String())
+				require.Equal(t, tc.orderStatus, got.Code)
+				require.Equal(t, tc.orderRuns, f.runs("a"))
+			})
+		})
+	}
+}
+
+// Guards against an outage that the gateway's own retries multiply.
+func TestOutageIsNotMultiplied(t *testing.T) {
+	inBubble(t, 4, func(t *testing.T, f *fixture) {
+		const requests = 400
+		script := make([]fault, 4*requests)
+		for i := range script {
+			script[i] = serverError
+		}
+		f.setScript(script...)
+		for range requests {
+			f.send(f.gateways[0], read("a"))
+			time.Sleep(5 * time.Millisecond)
+		}
+		// 10% of the requests, one a second for 2 s, and the initial store of
+		// the budget, which is bounded by its capacity.
+		extra := len(f.arrived()) - requests
+		require.LessOrEqual(t, extra, requests/10+2+int(f.gateways[0].service("shop").retries.Capacity()))
+	})
+}
+
+// Guards against requests that wait without bound when all servers are busy.
+func TestOverloadIsShed(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fixture) {
+		script := make([]fault, 200)
+		for i := range script {
+			script[i] = slow
+		}
+		f.setScript(script...)
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		reasons := map[string]int{}
+		for range 100 {
+			wg.Go(func() {
+				got := f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
+				mu.Lock()
+				defer mu.Unlock()
+				if strings.Contains(got.Body.String(), reasonOverloaded) {
+					require.Equal(t, "not_run", got.Header().Get(headerRun))
+					require.NotEmpty(t, got.Header().Get("Retry-After"))
+				}
+				reasons[got.Header().Get(headerRun)]++
+			})
+		}
+		wg.Wait()
+		require.Positive(t, reasons["not_run"])
+		require.Equal(t, reasons["ran"], f.runs("a"))
+	})
+}
+
+// Guards against a key that is refused without a true statement.
+func TestOrdersWithoutAnIssuedKey(t *testing.T) {
+	inBubble(t, 1, func(t *testing.T, f *fixture) {
+		for key, reason := range map[string]string{"": reasonKeyRequired, "my-own-key": "key_not_issued"} {
+			got := f.send(f.gateways[0], order("a", key))
+			require.Contains(t, got.Body.String(), reason)
+			require.Equal(t, "not_run", got.Header().Get(headerRun))
+			fresh := got.Header().Get(headerKey)
+			require.NotEmpty(t, fresh)
+			require.Equal(t, "ran", f.send(f.gateways[0], order("b", fresh)).Header().Get(headerRun))
+		}
+		require.Zero(t, f.runs("a"))
+		require.Equal(t, uint64(4), f.gateways[0].log.Dropped().Requests)
+		require.Equal(t, uint64(2), f.gateways[0].log.Dropped().RequestsByResult[audit.OutcomeNotRun])
+	})
+}
