--- a/pkg/routing/lentilpin/lentilpin.go
+++ b/pkg/routing/lentilpin/lentilpin.go
@@ -1,11 +1,16 @@
 // Package lentilpin is the product's own policy for decisions under stale load.
 //
-// A decision draws a few random candidates of the own failure domain and one
-// of another failure domain, and takes the one with the lowest expected
-// latency. The load of a candidate is its last report, aged towards the mean
-// over all backend servers, plus what this instance has sent since. The
-// report's requests in flight contain those of all instances, so attempts that
-// started before the report are not added again.
+// A decision draws a few random candidates of the own failure domain and of the
+// other failure domains, and takes the one with the lowest expected latency:
+// the latency that this instance has seen, plus the wait that the load leads
+// to, plus a price for leaving the failure domain.
+//
+// The load of a candidate is the mean over all backend servers, plus the
+// trusted part of the deviation of its last report, aged towards the mean, plus
+// the attempts of this instance in flight. Trust is learned: it is the slope of
+// the latency of attempts on the wait that reports predicted for them (type
+// trust in package server). No report states how late it is, but late reports
+// predict nothing, so trust falls and the instance's own count decides.
 package lentilpin
 
 import (
@@ -41,11 +46,12 @@
 func (p *Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
 	var best *server.Server
 	lowest := math.Inf(1)
+	trust := p.shared.Trust()
 	consider := func(s *server.Server) {
 		if s == nil || s == best {
 			return
 		}
-		if cost := p.Cost(now, s); cost < lowest {
+		if cost := p.cost(now, s, trust); cost < lowest {
 			best, lowest = s, cost
 		}
 	}
@@ -53,32 +59,57 @@
 		consider(l.Draw(r, 0, l.Local(), exclude))
 	}
 	consider(l.Draw(r, l.Local(), l.Len(), exclude))
+	if best != nil && (best.Local() || l.Local() == 0) {
+		best.Predict(now, p.wait(now, best, 1, p.slots(now, best)))
+	}
 	return best
 }
 
-// Cost is the expected latency of an attempt in nanoseconds.
-func (p *Policy) Cost(now time.Duration, s *server.Server) float64 {
-	load, slots := Load(now, s, p.shared), float64(defaultSlots)
-	if r, _, ok := s.Reported(now); ok && r.Slots > 0 {
-		slots = float64(r.Slots)
-	}
-	service := float64(s.Latency())
-	if service == 0 {
-		service = float64(p.shared.MeanLatency())
-	}
-	cost := service * (1 + max(0, load+1-slots)/slots + load/slots/8)
+// cost is the expected latency of an attempt in nanoseconds.
+func (p *Policy) cost(now time.Duration, s *server.Server, trust float64) float64 {
+	slots := p.slots(now, s)
+	cost := p.service(s, slots) + p.wait(now, s, trust, slots)
 	if !s.Local() {
 		cost += float64(p.options.CrossDomainPenalty)
 	}
 	return cost
 }
 
-// Load is the estimate of the requests at a backend server now.
-func Load(now time.Duration, s *server.Server, shared *server.Shared) float64 {
-	mean := shared.MeanLoad()
-	r, age, ok := s.Reported(now)
-	if !ok {
-		return mean + float64(s.Inflight())
+// service is the time that an attempt takes at the backend server without
+// waiting, in nanoseconds. The latency of attempts contains the mean wait, which
+// would otherwise count twice.
+func (p *Policy) service(s *server.Server, slots float64) float64 {
+	latency := float64(s.Latency())
+	if latency == 0 {
+		latency = float64(p.shared.MeanLatency())
+	}
+	return latency / (1 + max(0, p.shared.MeanLoad()+1-slots)/slots)
+}
+
+// preference is the share of the service time that one more request per slot
+// costs below full load. It spreads work before queues form.
+const preference = 0.125
+
+// wait is the expected wait in nanoseconds.
+func (p *Policy) wait(now time.Duration, s *server.Server, trust, slots float64) float64 {
+	load := Load(now, s, p.shared, trust)
+	return p.service(s, slots) * (max(0, load+1-slots) + preference*load) / slots
+}
+
+func (p *Policy) slots(now time.Duration, s *server.Server) float64 {
+	if r, _, ok := s.Reported(now); ok && r.Slots > 0 {
+		return float64(r.Slots)
+	}
+	return defaultSlots
+}
+
+// Load is the estimate of the requests at a backend server now: the mean, plus
+// the trusted part of the deviation of the last report, plus the attempts of
+// this instance in flight.
+func Load(now time.Duration, s *server.Server, shared *server.Shared, trust float64) float64 {
+	load := shared.MeanLoad() + float64(s.Inflight())
+	if r, age, ok := s.Reported(now); ok {
+		load += trust * (float64(r.Load()) - shared.MeanLoad()) * math.Exp(-float64(age)/float64(ageTime))
 	}
-	return mean + (float64(r.Load())-mean)*math.Exp(-float64(age)/float64(ageTime)) + float64(s.SentSince())
+	return load
 }
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -67,13 +67,16 @@
 	sentSince atomic.Int32 // attempts begun since the report
 	probedAt  atomic.Int64 // time of the last probe plus one
 
-	endMu   sync.Mutex // serialises End's estimates
-	endAt   time.Duration
-	latency atomic.Uint64 // float64 bits, nanoseconds
-	errors  atomic.Uint64 // float64 bits, share of attempts that failed
-	picks   atomic.Uint64
-	failed  atomic.Uint64
-	full    atomic.Uint64 // draws that met the limit
+	endMu      sync.Mutex // serialises End's estimates
+	endAt      time.Duration
+	latency    atomic.Uint64 // float64 bits, nanoseconds
+	errors     atomic.Uint64 // float64 bits, share of attempts that failed
+	sampleAt   atomic.Int64  // start of the sampled attempt plus one; 0: none
+	sampleWait atomic.Uint64 // float64 bits, its predicted wait in nanoseconds
+
+	picks  atomic.Uint64
+	failed atomic.Uint64
+	full   atomic.Uint64 // draws that met the limit
 }
 
 // New returns a backend server without reports and with full weight.
@@ -179,9 +182,43 @@
 	}
 	if o == Success {
 		s.shared.observeLatency(float64(latency))
+		s.endSample(now, latency)
 	}
 }
 
+const (
+	// sampleMatch is the most by which the start that End implies may differ
+	// from the start of the sampled attempt.
+	sampleMatch = 500 * time.Microsecond
+	// sampleAge is when a sample whose end was missed is replaced.
+	sampleAge = time.Second
+)
+
+// Predict notes the wait that was predicted for an attempt that begins now.
+// One attempt per backend server is sampled at a time; End matches it by its
+// start, so attempts need no memory of their own.
+func (s *Server) Predict(now time.Duration, wait float64) {
+	old := s.sampleAt.Load()
+	if old != 0 && now-time.Duration(old) < sampleAge {
+		return
+	}
+	if s.sampleAt.CompareAndSwap(old, int64(now)+1) {
+		s.sampleWait.Store(math.Float64bits(wait))
+	}
+}
+
+func (s *Server) endSample(now, latency time.Duration) {
+	at := s.sampleAt.Load()
+	if at == 0 {
+		return
+	}
+	if d := now - latency - time.Duration(at-1); d < -sampleMatch || d > sampleMatch {
+		return
+	}
+	s.shared.trust.observe(math.Float64frombits(s.sampleWait.Load()), float64(latency))
+	s.sampleAt.Store(0)
+}
+
 // minGain is the least weight of a new sample, so that responses that arrive
 // together still move an estimate.
 const minGain = 0.05
--- a/pkg/routing/server/shared.go
+++ b/pkg/routing/server/shared.go
@@ -11,6 +11,7 @@
 	load         atomic.Uint64 // float64 bits
 	latency      atomic.Uint64 // float64 bits, nanoseconds
 	errorLatency atomic.Int64
+	trust        trust
 }
 
 // sharedGain is the weight of one report or response in the mean over all
@@ -41,6 +42,10 @@
 func (s *Shared) observeLoad(load float64)       { average(&s.load, load) }
 func (s *Shared) observeLatency(latency float64) { average(&s.latency, latency) }
 
+// Trust returns how far the deviations of load reports from their mean predict
+// latency, 0 to 1.
+func (s *Shared) Trust() float64 { return s.trust.value() }
+
 // average may lose one of two concurrent samples, which a mean tolerates.
 func average(v *atomic.Uint64, sample float64) {
 	old := math.Float64frombits(v.Load())
--- a/pkg/routing/why.go
+++ b/pkg/routing/why.go
@@ -32,6 +32,7 @@
 	ReportAge     time.Duration
 	EstimatedLoad float64
 	MeanLoad      float64
+	Trust         float64  // how far load reports predict latency, 0 to 1
 	Reasons       []string // strongest first; empty: nothing holds work back
 }
 
@@ -46,7 +47,7 @@
 // Why explains why a backend server gets little work from this instance.
 func (s *Set) Why(now time.Duration, address string) Explanation {
 	st := s.settings.Load()
-	e := Explanation{Address: address, Policy: st.name, MeanLatency: s.shared.MeanLatency(), MeanLoad: s.shared.MeanLoad()}
+	e := Explanation{Address: address, Policy: st.name, MeanLatency: s.shared.MeanLatency(), MeanLoad: s.shared.MeanLoad(), Trust: s.shared.Trust()}
 	x := s.Server(address)
 	if x == nil {
 		e.Reasons = []string{"not in the instance list of this instance"}
@@ -57,7 +58,7 @@
 	e.Weight, e.Inflight, e.Limit = x.Weight(), x.Inflight(), x.Limit()
 	e.ErrorShare, e.Latency = x.ErrorShare(), x.Latency()
 	e.Report, e.ReportAge, e.HasReport = x.Reported(now)
-	e.EstimatedLoad = lentilpin.Load(now, x, s.shared)
+	e.EstimatedLoad = lentilpin.Load(now, x, s.shared, s.shared.Trust())
 	e.Share, e.FairShare = s.share(x)
 	e.Reasons = reasons(&e, s.list.Load())
 	return e
