--- a/demo/run.sh
+++ b/demo/run.sh
@@ -34,6 +34,7 @@
 
 echo "== one entry is killed; the order is sent again"
 kill -KILL "$pid_entry_2"
+wait "$pid_entry_2" 2>/dev/null || true
 bin/standin-caller --entries 127.0.0.1:7210,127.0.0.1:7230 --order order-2 | tee "$out/after-kill.txt"
 
 echo "== runs of each order at the backend servers"
--- a/pkg/entry/cluster_test.go
+++ b/pkg/entry/cluster_test.go
@@ -157,6 +157,10 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
+	return c.send(req)
+}
+
+func (c *cluster) send(req *http.Request) got {
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return got{err: err, header: http.Header{}}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -34,6 +34,8 @@
 	owner    *ledger.Owner
 	gateway  *gateway.Gateway
 	leaving  atomic.Bool
+
+	incarnation uint64 // drawn at start
 }
 
 // New assembles an entry. Nothing runs before Run.
@@ -43,18 +45,18 @@
 	e.rec = events.NewLogger(log, e.log)
 	e.metrics = metrics.New(map[string]string{"instance": conf.Instance})
 	c := clock.NewSystem()
-	incarnation := rand.Uint64()
+	e.incarnation = rand.Uint64()
 	keyring := ledger.NewKeyring(conf.Secrets.KeySigning)
 
 	e.store = settings.NewStore(e.rec, c)
 	e.platform = platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, e.rec)
 	e.client = peer.NewClient(e.peerOptions())
 	e.owner = ledger.NewOwner(ledger.OwnerOptions{
-		Address: conf.Listen.Peers, Incarnation: incarnation, Clock: c,
+		Address: conf.Listen.Peers, Incarnation: e.incarnation, Clock: c,
 		MaxClaims: conf.Limits.MaxClaims, Keyring: keyring, Recorder: e.rec,
 	})
 	e.gateway = gateway.New(gateway.Options{
-		Instance: conf.Instance, Incarnation: incarnation, Region: conf.Region,
+		Instance: conf.Instance, Incarnation: e.incarnation, Region: conf.Region,
 		FailureDomain: conf.FailureDomain, Ordinal: conf.Ordinal,
 		Store: e.store, Owner: e.owner,
 		Claimant:        ledger.NewClaimant(e.owner, keyring, peers{e.client, e}, c, conf.Listen.Peers),
@@ -66,7 +68,7 @@
 	})
 	e.table = membership.New(membership.Options{
 		Self: &peerpb.Member{
-			Instance: conf.Instance, Incarnation: incarnation, Address: conf.Listen.Peers,
+			Instance: conf.Instance, Incarnation: e.incarnation, Address: conf.Listen.Peers,
 			FailureDomain: conf.FailureDomain, Ordinal: uint32(conf.Ordinal),
 			StartedUnixMs: c.Read().Wall.UnixMilli(),
 		},
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -172,3 +172,28 @@
 	}
 	require.Eventually(t, func() bool { return c.entries[0].store.Confirmed() }, patience, time.Millisecond)
 }
+
+// Guards against an operator interface that is open to callers, that does not
+// find a request by its id, or that shows a secret.
+func TestOperatorsQuestions(t *testing.T) {
+	c := newCluster(t, 1, fast())
+	id := c.get(c.callers(0), "/shop/items/1").header.Get("Lentilpin-Request-Id")
+	require.Equal(t, http.StatusUnauthorized, c.get(c.operators(0), "/v1/requests/"+id).status)
+	for _, path := range []string{
+		"/v1/requests/" + id, "/v1/refusals?minutes=5", "/v1/backends/shop", "/v1/settings/shop",
+		"/v1/instances", "/v1/draining", "/v1/measuring", "/v1/audit",
+	} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+c.operators(0)+path, nil)
+		require.NoError(t, err)
+		req.Header.Set("Authorization", "Bearer "+c.entries[0].conf.Secrets.Operator)
+		g := c.send(req)
+		require.Equal(t, http.StatusOK, g.status, "%s: %s", path, g.body)
+		for _, secret := range []string{c.entries[0].conf.Secrets.Operator, c.entries[0].conf.Secrets.Peer, c.entries[0].conf.Secrets.KeySigning[0]} {
+			require.NotContains(t, g.body, secret)
+		}
+		if strings.Contains(path, id) {
+			require.Contains(t, g.body, c.backends[0].Address())
+		}
+	}
+	require.Equal(t, http.StatusNotFound, c.get(c.callers(0), "/v1/instances").status)
+}
--- a/pkg/entry/operators.go
+++ b/pkg/entry/operators.go
@@ -1,27 +1,50 @@
 package entry
 
 import (
-	"io"
+	"fmt"
 	"net/http"
-	"time"
 
-	"github.com/labstack/echo/v4"
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/gateway"
+	"lentilpin/pkg/operator"
 )
 
-// operatorHeaderTimeout bounds the header of an operator's request.
-const operatorHeaderTimeout = 5 * time.Second
+// view answers the operators' questions. It implements operator.View; what
+// concerns services comes from the gateway.
+type view struct {
+	*gateway.Gateway
+	e *Entry
+}
+
+// Identity implements operator.View.
+func (v view) Identity() operator.Identity {
+	return operator.Identity{
+		Instance:      v.e.conf.Instance,
+		Incarnation:   fmt.Sprintf("%016x", v.e.incarnation),
+		FailureDomain: v.e.conf.FailureDomain,
+	}
+}
+
+// Ready implements operator.View.
+func (v view) Ready() (bool, string) { return v.e.ready() }
+
+// Log implements operator.View.
+func (v view) Log() *audit.Log { return v.e.log }
+
+// Settings implements operator.View.
+func (v view) Settings(service string) (operator.Settings, bool) {
+	return operator.DescribeSettings(v.e.store.State(), v.e.conf.Region, service)
+}
+
+// Instances implements operator.View.
+func (v view) Instances() operator.Instances {
+	ready, reason := v.e.ready()
+	return operator.DescribeInstances(v.e.store.State(), ready, reason, v.e.table.Members())
+}
 
 func (e *Entry) operatorServer() *http.Server {
-	h := echo.New()
-	h.HideBanner, h.HidePort = true, true
-	h.Logger.SetOutput(io.Discard)
-	h.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
-	h.GET("/readyz", func(c echo.Context) error {
-		if ok, reason := e.ready(); !ok {
-			return c.String(http.StatusServiceUnavailable, reason+"\n")
-		}
-		return c.String(http.StatusOK, "ready\n")
+	return operator.NewServer(operator.Options{
+		View: view{e.gateway, e}, Credential: e.conf.Secrets.Operator,
+		Metrics: e.metrics.Handler, Recorder: e.rec,
 	})
-	h.GET("/metrics", echo.WrapHandler(e.metrics.Handler))
-	return &http.Server{Handler: h, ReadHeaderTimeout: operatorHeaderTimeout}
 }
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -69,3 +70,14 @@
 	}
 	return append(own, other...)
 }
+
+// Handover implements ledger.Peers. A connection that was never made carried
+// nothing, so the peer counts as having refused and another may be tried.
+func (p peers) Handover(ctx context.Context, address string, in *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	resp, err := p.Client.Handover(ctx, address, in)
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &peerpb.HandoverResponse{}, nil
+	}
+	return resp, err
+}
--- /dev/null
+++ b/pkg/gateway/view.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+
+	"lentilpin/pkg/operator"
+)
+
+// Backends describes the backend servers of a service for operators; false if
+// there is no such service.
+func (g *Gateway) Backends(service string) ([]operator.Backend, bool) {
+	s := g.service(service)
+	if s == nil {
+		return nil, false
+	}
+	now := g.now()
+	out := []operator.Backend{}
+	for _, server := range s.set.Servers() {
+		info, _ := s.outliers.Info(now, server.Address())
+		out = append(out, operator.DescribeBackend(s.set.Why(now, server.Address()), info))
+	}
+	slices.SortFunc(out, func(a, b operator.Backend) int { return strings.Compare(a.Address, b.Address) })
+	return out, true
+}
+
+// Draining returns the drain marks in force.
+func (g *Gateway) Draining() []operator.Drain {
+	out := []operator.Drain{}
+	now := g.now()
+	for _, s := range g.services.Load().list {
+		for _, m := range s.outliers.Marks(now) {
+			out = append(out, operator.Drain{Service: s.name, Address: m.Address, Source: m.Source, Age: now - m.Seen})
+		}
+	}
+	return out
+}
+
+// Measuring returns the cost of measuring each service.
+func (g *Gateway) Measuring() []operator.Measuring {
+	out := []operator.Measuring{}
+	for _, s := range g.services.Load().list {
+		out = append(out, operator.DescribeMeasuring(s.name, g.start, s.settings.Load(), s.budgets))
+	}
+	return out
+}
