--- a/pkg/config/dynamic/diff.go
+++ b/pkg/config/dynamic/diff.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -64,15 +65,19 @@
 }
 
 func diffValues(region, service string, o, n *Resolved) []Difference {
+	if reflect.DeepEqual(o.Service, n.Service) {
+		return nil
+	}
 	var out []Difference
-	for _, path := range union(o.Values, n.Values) {
-		if o.Values[path] == n.Values[path] {
+	before, after := o.Values(), n.Values()
+	for _, path := range union(before, after) {
+		was, is := before[path], after[path]
+		if was.JSON == is.JSON {
 			continue
 		}
 		out = append(out, Difference{
 			Kind: Changed, Region: region, Service: service, Path: path,
-			Old: o.Values[path], New: n.Values[path],
-			OldOrigin: o.Origins[path], NewOrigin: n.Origins[path],
+			Old: was.JSON, New: is.JSON, OldOrigin: was.Origin, NewOrigin: is.Origin,
 		})
 	}
 	return out
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -33,28 +33,37 @@
 	services map[string]map[string]*Resolved // by region, then by service
 }
 
-// Resolved is one service of one region with the origin of each value.
+// Resolved is one service of one region.
 type Resolved struct {
 	Service Service
-	// Origins maps the path of each value, for example "queue.maxWaitMs", to
-	// the node that states it: built-in, fleet, region/NAME or
-	// region/NAME/service/NAME.
-	Origins map[string]string
-	// Values maps the same paths to the values as JSON.
-	Values map[string]string
+	levels  []level
+}
+
+// Value is one setting of a service.
+type Value struct {
+	JSON string
+	// Origin is the node that states the value: built-in, fleet, region/NAME
+	// or region/NAME/service/NAME.
+	Origin string
 }
 
 type document struct {
 	Version uint64 `json:"version"`
 	Fleet   struct {
-		Defaults map[string]any `json:"defaults"`
+		Defaults json.RawMessage `json:"defaults"`
 	} `json:"fleet"`
 	Regions map[string]struct {
-		Defaults map[string]any            `json:"defaults"`
-		Services map[string]map[string]any `json:"services"`
+		Defaults json.RawMessage            `json:"defaults"`
+		Services map[string]json.RawMessage `json:"services"`
 	} `json:"regions"`
 }
 
+// level is what one node states, as published.
+type level struct {
+	origin string
+	text   json.RawMessage
+}
+
 // Parse checks the text of a tree and resolves every service. The error is a
 // *schema.Error where a rule of the schema or a rule across values is broken.
 func Parse(text []byte) (*Tree, error) {
@@ -71,27 +80,20 @@
 		Text:     text,
 		services: map[string]map[string]*Resolved{},
 	}
-	var builtIn map[string]any
-	if err := json.Unmarshal(defaultsText, &builtIn); err != nil {
-		return nil, errors.Wrap(err, "parse built-in defaults")
-	}
+	fleet := base{}.with(level{BuiltIn, defaultsText}).with(level{"fleet", doc.Fleet.Defaults})
 	problems := &schema.Error{}
 	for regionName, region := range doc.Regions {
-		t.services[regionName] = map[string]*Resolved{}
-		for serviceName, service := range region.Services {
+		t.services[regionName] = make(map[string]*Resolved, len(region.Services))
+		parent := fleet.with(level{"region/" + regionName, region.Defaults})
+		for serviceName, text := range region.Services {
 			node := fmt.Sprintf("region/%s/service/%s", regionName, serviceName)
-			r, err := resolve([]level{
-				{BuiltIn, builtIn},
-				{"fleet", doc.Fleet.Defaults},
-				{"region/" + regionName, region.Defaults},
-				{node, service},
-			})
-			if err != nil {
-				return nil, errors.Wrap(err, node)
+			resolved := parent.with(level{node, text})
+			if resolved.err != nil {
+				return nil, errors.Wrap(resolved.err, node)
 			}
 			path := fmt.Sprintf("/regions/%s/services/%s", regionName, serviceName)
-			problems.Violations = append(problems.Violations, r.check(path)...)
-			t.services[regionName][serviceName] = r
+			problems.Violations = append(problems.Violations, resolved.check(path)...)
+			t.services[regionName][serviceName] = &resolved.Resolved
 		}
 	}
 	if len(problems.Violations) > 0 {
@@ -115,41 +117,54 @@
 	return slices.Sorted(maps.Keys(t.services))
 }
 
-type level struct {
-	origin string
-	values map[string]any
+// base is the settings that the nodes below a node inherit.
+type base struct {
+	Resolved
+	err error
 }
 
-func resolve(levels []level) (*Resolved, error) {
-	merged := map[string]any{}
-	r := &Resolved{Origins: map[string]string{}, Values: map[string]string{}}
-	for _, l := range levels {
-		merge(merged, l.values, "", l.origin, r)
+// with returns the settings of a child. Only what the child states is decoded,
+// over a copy of what it inherits, so that the cost of a service does not grow
+// with the number of settings.
+func (b base) with(l level) base {
+	b.levels = append(slices.Clip(b.levels), l)
+	if len(l.text) == 0 {
+		return b
 	}
-	text, err := json.Marshal(merged)
-	if err != nil {
-		return nil, err
+	// json.Unmarshal would write into the parent's array.
+	b.Service.IdempotentMethods = slices.Clone(b.Service.IdempotentMethods)
+	if err := json.Unmarshal(l.text, &b.Service); err != nil && b.err == nil {
+		b.err = err
+	}
+	return b
+}
+
+// Values returns every setting by its path, for example "queue.maxWaitMs". It
+// is made when asked for, because requests do not need it.
+func (r *Resolved) Values() map[string]Value {
+	out := map[string]Value{}
+	for _, l := range r.levels {
+		var values map[string]any
+		if len(l.text) == 0 || json.Unmarshal(l.text, &values) != nil {
+			continue
+		}
+		collect(out, values, "", l.origin)
 	}
-	return r, json.Unmarshal(text, &r.Service)
+	return out
 }
 
-func merge(into, from map[string]any, prefix, origin string, r *Resolved) {
-	for name, value := range from {
+func collect(out map[string]Value, values map[string]any, prefix, origin string) {
+	for name, value := range values {
 		path := prefix + name
-		object, ok := value.(map[string]any)
-		if !ok {
-			into[name] = value
-			text, _ := json.Marshal(value)
-			r.Origins[path] = origin
-			r.Values[path] = string(text)
+		if object, ok := value.(map[string]any); ok {
+			collect(out, object, path+".", origin)
 			continue
 		}
-		child, ok := into[name].(map[string]any)
-		if !ok {
-			child = map[string]any{}
-			into[name] = child
+		text, err := json.Marshal(value)
+		if err != nil {
+			panic(err) // a decoded JSON value always encodes
 		}
-		merge(child, object, path+".", origin, r)
+		out[path] = Value{JSON: string(text), Origin: origin}
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,16 +129,12 @@
 	next := map[string]*service{}
 	for _, name := range tree.Services(g.o.Region) {
 		resolved := tree.Lookup(g.o.Region, name)
-		s := g.service(name)
-		if s == nil {
-			s = g.create(name, &resolved.Service)
-		} else if err := s.configure(&resolved.Service); err != nil {
-			g.o.Recorder.Record(EventServiceRefused, events.F("service", name), events.F("error", err.Error()))
+		if s := g.service(name); s != nil {
+			next[name] = s
+			g.reconfigure(s, &resolved.Service)
+		} else if s = g.create(name, &resolved.Service); s != nil {
+			next[name] = s
 		}
-		if s == nil {
-			continue
-		}
-		next[name] = s
 	}
 	old := g.services.Load().list
 	g.services.Store(newServices(next))
@@ -149,6 +146,17 @@
 	g.applyList()
 }
 
+// reconfigure puts new settings of a service in force. Most versions change few
+// services, so the others are left alone.
+func (g *Gateway) reconfigure(s *service, settings *dynamic.Service) {
+	if reflect.DeepEqual(s.settings.Load(), settings) {
+		return
+	}
+	if err := s.configure(settings); err != nil {
+		g.o.Recorder.Record(EventServiceRefused, events.F("service", s.name), events.F("error", err.Error()))
+	}
+}
+
 func (g *Gateway) create(name string, settings *dynamic.Service) *service {
 	// The seed differs between instances, so that they do not follow one
 	// another to the same backend server.
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -176,9 +176,10 @@
 }
 
 func values(r *dynamic.Resolved) []Value {
-	out := make([]Value, 0, len(r.Values))
-	for path, v := range r.Values {
-		out = append(out, Value{Path: path, Value: v, Origin: r.Origins[path]})
+	all := r.Values()
+	out := make([]Value, 0, len(all))
+	for path, v := range all {
+		out = append(out, Value{Path: path, Value: v.JSON, Origin: v.Origin})
 	}
 	slices.SortFunc(out, func(a, b Value) int { return strings.Compare(a.Path, b.Path) })
 	return out
