--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,217 @@
+package membership_test
+
+import (
+	"flag"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// sizes are measured by TestSpread; 19,76,300 takes minutes.
+var sizes = flag.String("fleet", "19", "numbers of instances, separated by commas")
+
+const ms = time.Millisecond
+
+// Guards against a fleet that never becomes ready after all its instances
+// started at once.
+func TestColdStart(t *testing.T) {
+	for _, domains := range []int{3, 4} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(1, 19, domains)
+			f.bootAll()
+			defer f.stopAll()
+			t.Logf("%d failure domains: all ready after %v", domains, f.within(t, 30*time.Second, ready))
+		})
+	}
+}
+
+// Guards against a fleet in which an instance keeps an older version, has a
+// version that goes down, or has a content that was never published. The
+// service is stale or down for some failure domains, cuts separate pairs or
+// groups, processes are paused or replaced, operators race. Five seconds of
+// virtual time after the cuts have healed, everyone has the newest version
+// that any instance had, although the service is still down where it was.
+func TestVersionsAgainstOracle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(struct{ testing.TB }{t}, func(rt *rapid.T) {
+			f := newFleet(rapid.Uint64().Draw(rt, "seed"), 19, rapid.IntRange(3, 4).Draw(rt, "domains"))
+			f.bootAll()
+			defer f.stopAll()
+			time.Sleep(2 * time.Second)
+			node := func() *node {
+				return f.all()[rapid.IntRange(0, 18).Draw(rt, "node")]
+			}
+			domain := func() string { return node().self.FailureDomain }
+			rt.Repeat(map[string]func(*rapid.T){
+				"publish": func(*rapid.T) {
+					refused := f.publish()
+					require.NotContains(rt, f.published, refused)
+				},
+				"stale": func(rt *rapid.T) {
+					d, back := domain(), rapid.IntRange(0, 3).Draw(rt, "back")
+					f.set(func() { f.frozen[d] = uint64(max(1, len(f.published)-back)) })
+				},
+				"down":  func(*rapid.T) { d := domain(); f.set(func() { f.down[d] = true }) },
+				"works": func(*rapid.T) { d := domain(); f.set(func() { delete(f.down, d); delete(f.frozen, d) }) },
+				"cut pair": func(*rapid.T) {
+					a, b := node(), node()
+					f.set(func() { f.cuts[[2]string{a.self.Address, b.self.Address}] = true })
+				},
+				"cut group": func(rt *rapid.T) {
+					k := rapid.IntRange(1, 9).Draw(rt, "group")
+					f.set(func() { f.cutGroup(k) })
+				},
+				"heal":   func(*rapid.T) { f.set(func() { clear(f.cuts) }) },
+				"pause":  func(*rapid.T) { node().pause() },
+				"resume": func(*rapid.T) { node().resume() },
+				"replace": func(rt *rapid.T) {
+					i := rapid.IntRange(0, 18).Draw(rt, "instance")
+					f.kill(f.nodes[f.list[i].Address])
+					f.boot(i, "wait")
+				},
+				"run": func(rt *rapid.T) {
+					time.Sleep(time.Duration(rapid.IntRange(10, 2000).Draw(rt, "ms")) * ms)
+				},
+				"": func(rt *rapid.T) {
+					for _, n := range f.all() {
+						n.check(rt)
+						if !n.paused() && ready(n) && !n.store.Confirmed() {
+							rt.Fatalf("%s is ready but not confirmed", n.self.Instance)
+						}
+					}
+				},
+			})
+			f.set(func() { clear(f.cuts) })
+			newest := uint64(0)
+			for _, n := range f.all() {
+				n.resume()
+				newest = max(newest, n.store.Version())
+			}
+			time.Sleep(5 * time.Second)
+			for _, n := range f.all() {
+				n.check(rt)
+				if n.store.Version() < newest {
+					rt.Fatalf("%s has version %d, newest %d", n.self.Instance, n.store.Version(), newest)
+				}
+			}
+		})
+	})
+}
+
+// cutGroup separates the first k nodes from the others.
+func (f *fleet) cutGroup(k int) {
+	for i, a := range f.list {
+		for _, b := range f.list[i+1:] {
+			if i < k && !slices.Contains(f.list[:k], b) {
+				f.cuts[[2]string{a.Address, b.Address}] = true
+			}
+		}
+	}
+}
+
+// Guards against an instance that trusts a stale service: a new one that reads
+// version 1 must learn version 3 from its peers before it is ready.
+func TestNewInstanceAndStaleService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 19, 3)
+		f.bootAll()
+		defer f.stopAll()
+		f.within(t, 30*time.Second, ready)
+		f.publish()
+		f.publish()
+		f.within(t, 5*time.Second, has(3))
+		f.set(func() {
+			for _, i := range f.list {
+				f.frozen[i.FailureDomain] = 1
+			}
+		})
+		for i := range 19 {
+			f.kill(f.nodes[f.list[i].Address])
+			n := f.boot(i, "wait")
+			for !ready(n) {
+				time.Sleep(ms)
+			}
+			require.Equal(t, uint64(3), n.store.Version(), n.self.Instance)
+		}
+	})
+}
+
+// Guards against a paused process that serves with old settings, or that takes
+// a reply to a question from before the pause, or that of a stale service, as
+// a confirmation.
+func TestPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 19, 3)
+		f.bootAll()
+		defer f.stopAll()
+		f.within(t, 30*time.Second, ready)
+		n := f.nodes[f.list[4].Address]
+		for i := range 8 {
+			f.set(func() { f.frozen[n.self.FailureDomain], f.down[n.self.FailureDomain] = 1, i%2 == 0 })
+			n.pause()
+			time.Sleep(20 * time.Second)
+			f.publish()
+			version := uint64(len(f.published))
+			time.Sleep(2 * time.Second)
+			n.resume()
+			require.False(t, ready(n))
+			for !ready(n) {
+				time.Sleep(ms)
+			}
+			require.Equal(t, version, n.store.Version())
+		}
+	})
+}
+
+// Guards against a change that does not reach everyone within 5 s of virtual
+// time from one instance, the service being down, and against a live instance
+// that is forgotten. Logs what the exchange costs.
+func TestSpread(t *testing.T) {
+	for _, text := range strings.Split(*sizes, ",") {
+		size, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		synctest.Test(t, func(t *testing.T) {
+			domains := 3
+			if size > 19 {
+				domains = 6
+			}
+			f := newFleet(1, size, domains)
+			f.bootAll()
+			defer f.stopAll()
+			start := f.within(t, time.Minute, ready)
+			f.set(func() {
+				for _, i := range f.list {
+					f.down[i.FailureDomain] = true
+				}
+			})
+			time.Sleep(2 * time.Minute)
+			for _, n := range f.all() {
+				require.Len(t, n.table.Members(), size)
+				require.False(t, n.table.OrdinalConflict())
+			}
+			f.take()
+			time.Sleep(30 * time.Second)
+			bytes, exchanges, _ := f.take()
+			var spread []time.Duration
+			for i := range 10 {
+				f.publish()
+				version := uint64(len(f.published))
+				f.all()[i*size/10].store.Offer([]byte(f.published[version-1]), "service")
+				spread = append(spread, f.within(t, 5*time.Second, has(version)))
+				time.Sleep(time.Second)
+			}
+			slices.Sort(spread)
+			_, _, trees := f.take()
+			n := float64(size)
+			t.Logf("%d instances: ready after %v; spread median %v, longest %v; %.1f tree fetches per instance and change; "+
+				"%.1f exchanges/s and %.0f bytes/s sent per instance (as much received)",
+				size, start, spread[5], spread[9], trees/10/n, exchanges/30/n, bytes/30/n)
+		})
+	}
+}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -11,7 +11,7 @@
 // Sizes of an exchange.
 const (
 	maxExchangeBytes = 64<<10 - 1024 // the limit of the call with room for its framing
-	minExchangeBytes = 512           // header and own record, always allowed
+	minExchangeBytes = 512           // of a notice or a question; header and own record are about 200
 	fieldBytes       = 4             // tag and length of one element
 )
 
@@ -103,7 +103,7 @@
 // freshMembers returns records that changed beyond their counter.
 func (t *Table) freshMembers(now time.Duration, allowance *int) []*peerpb.Member {
 	var out []*peerpb.Member
-	for _, r := range t.sorted() {
+	for _, r := range t.order {
 		size := proto.Size(r.member) + fieldBytes
 		if r.fresh == 0 || !t.sendable(now, r) || size > *allowance {
 			continue
@@ -117,7 +117,7 @@
 
 func (t *Table) rotateMembers(now time.Duration, allowance *int) []*peerpb.Member {
 	var items []*peerpb.Member
-	for _, r := range t.sorted() {
+	for _, r := range t.order {
 		if r.fresh == 0 && t.sendable(now, r) {
 			items = append(items, r.member)
 		}
@@ -125,8 +125,9 @@
 	return take(items, &t.cursor.members, allowance)
 }
 
-// budget bounds the bytes per second that this instance sends. A message may
-// overdraw it by the smallest size; later messages then carry less.
+// budget bounds the bytes per second that this instance sends. A message
+// always has its header and the own record, which may overdraw the budget;
+// later messages then carry nothing else.
 type budget struct {
 	rate   float64
 	tokens float64
@@ -137,7 +138,7 @@
 	b.tokens = min(b.rate, b.tokens+(now-b.last).Seconds()*b.rate)
 	b.last = now
 	// A round sends one message and answers about one, so that each gets half.
-	return min(maxExchangeBytes, max(minExchangeBytes, int(b.tokens/2)))
+	return min(maxExchangeBytes, int(b.tokens/2))
 }
 
 func (b *budget) spend(bytes int) { b.tokens = max(-b.rate, b.tokens-float64(bytes)) }
--- a/pkg/membership/records.go
+++ b/pkg/membership/records.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -27,6 +28,7 @@
 	heard     time.Duration // when the counter last rose, on the own clock
 	fresh     int           // messages that still carry it ahead of others
 	forgotten bool
+	ended     bool // another incarnation replied at its address
 }
 
 // merge takes records from a peer.
@@ -43,7 +45,7 @@
 			if r.forgotten || m.Phase != r.member.Phase || m.Successor != r.member.Successor {
 				r.fresh = freshMessages
 			}
-			r.member, r.heard, r.forgotten = m, now, false
+			r.member, r.heard, r.forgotten = m, now, r.ended
 		}
 	}
 	t.checkOrdinal()
@@ -59,6 +61,8 @@
 	}
 	r := &record{member: m, heard: now, fresh: freshMessages}
 	t.records[m.Incarnation] = r
+	at, _ := slices.BinarySearchFunc(t.order, r, compareRecords)
+	t.order = slices.Insert(t.order, at, r)
 	for _, other := range t.records {
 		if other == r || other.member.Instance != m.Instance {
 			continue
@@ -88,6 +92,7 @@
 func (t *Table) met(address string, incarnation uint64) {
 	for _, r := range t.records {
 		if r.member.Address == address && r.member.Incarnation != incarnation {
+			r.ended = true
 			t.forget(r)
 		}
 	}
@@ -103,6 +108,7 @@
 		}
 		if age > retain {
 			delete(t.records, id)
+			t.order = slices.DeleteFunc(t.order, func(o *record) bool { return o == r })
 		}
 	}
 	t.full = t.full && len(t.records) >= maxMembers
@@ -132,20 +138,10 @@
 	return !r.forgotten && now-r.heard < t.forgetAfter()/2
 }
 
-// sorted returns all records in the order of incarnations, so that rotation
-// and random choices do not depend on the order of a map.
-func (t *Table) sorted() []*record {
-	out := make([]*record, 0, len(t.records))
-	for _, r := range t.records {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *record) int {
-		if a.member.Incarnation < b.member.Incarnation {
-			return -1
-		}
-		return 1
-	})
-	return out
+// compareRecords orders records by incarnation, so that rotation and random
+// choices do not depend on the order of a map.
+func compareRecords(a, b *record) int {
+	return cmp.Compare(a.member.Incarnation, b.member.Incarnation)
 }
 
 // Members returns the own record and those of all instances heard of, in the
@@ -154,7 +150,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := []*peerpb.Member{t.ownRecord()}
-	for _, r := range t.sorted() {
+	for _, r := range t.order {
 		if !r.forgotten {
 			out = append(out, proto.CloneOf(r.member))
 		}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -71,7 +71,8 @@
 	mu        sync.Mutex
 	random    *rand.Rand
 	self      *peerpb.Member
-	records   map[uint64]*record
+	records   map[uint64]*record // by incarnation
+	order     []*record          // the same in the order of compareRecords
 	full      bool
 	conflict  bool
 	cursor    cursors
