--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -6,5 +6,12 @@
 	"lentilpin/pkg/events"
 )
 
-// EventServiceRefused reports a service whose settings cannot be put in force.
-var EventServiceRefused = events.NewChange(6002, logrus.ErrorLevel, "service_not_configured", "a service's settings could not be put in force; the former ones stay")
+// Events of the gateway.
+var (
+	EventServiceRefused = events.NewChange(6001, logrus.ErrorLevel, "service_not_configured", "a service's settings could not be put in force; the former ones stay")
+	// Every non-idempotent request whose end its caller does not know is on the
+	// log stream, which outlives the instance, so that operators can tell the
+	// customer before the customer asks.
+	EventUnknown     = events.New(6002, logrus.WarnLevel, "outcome_unknown", "a non-idempotent request may have run; its outcome is not known")
+	EventUndelivered = events.New(6003, logrus.WarnLevel, "response_undelivered", "a non-idempotent request ran, but its response did not reach the caller whole")
+)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilpin/pkg/audit"
+	"lentilpin/pkg/events"
 )
 
 // setScript gives every backend server the same faults.
@@ -185,3 +186,31 @@
 		require.Equal(t, uint64(2), f.gateways[0].log.Dropped().RequestsByResult[audit.OutcomeNotRun])
 	})
 }
+
+type recorded struct {
+	mu  sync.Mutex
+	all []*events.Event
+}
+
+func (r *recorded) Record(e *events.Event, _ ...events.Field) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, e)
+}
+
+// Guards against an order that is lost without a line on the log stream.
+func TestLossIsLogged(t *testing.T) {
+	for ft, want := range map[fault]*events.Event{closeAfterRun: EventUnknown, bareUnavailable: EventUnknown, cutShort: EventUndelivered, serve: nil} {
+		inBubble(t, 1, func(t *testing.T, f *fixture) {
+			rec := &recorded{}
+			f.gateways[0].o.Recorder = rec
+			f.setScript(ft)
+			f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
+			if want == nil {
+				require.Empty(t, rec.all)
+				return
+			}
+			require.Equal(t, []*events.Event{want}, rec.all)
+		})
+	}
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
 	"lentilpin/pkg/quarantine"
 )
 
@@ -82,6 +83,7 @@
 	c.rec.Status, c.rec.KeyState = res.status, res.keyState
 	c.rec.Duration = time.Since(c.started)
 	c.g.log.Request(c.rec)
+	c.reportLoss(res)
 	c.g.count(c.svc, res)
 	if res.outcome == audit.Aborted && res.reason == reasonResponseCut {
 		// net/http closes the connection without ending the response, which
@@ -90,6 +92,28 @@
 	}
 }
 
+// reportLoss logs a non-idempotent request whose caller did not learn how it
+// ended.
+func (c *call) reportLoss(res result) {
+	var e *events.Event
+	switch {
+	case c.settings == nil || c.isRead():
+		return
+	case res.run == audit.Unknown:
+		e = EventUnknown
+	case res.run == audit.Ran && res.outcome == audit.Aborted:
+		e = EventUndelivered
+	default:
+		return
+	}
+	backend := ""
+	if n := len(c.rec.Attempts); n > 0 {
+		backend = c.rec.Attempts[n-1].Backend
+	}
+	c.g.o.Recorder.Record(e, events.F("request_id", c.id), events.F("service", c.rec.Service),
+		events.F("reason", res.reason), events.F("key_state", res.keyState), events.F("backend", backend))
+}
+
 // offerKey puts a fresh key on the response of a request that may be followed
 // by a non-idempotent one.
 func (c *call) offerKey() {
