--- a/pkg/ctl/tree.go
+++ b/pkg/ctl/tree.go
@@ -60,8 +60,8 @@
 	for _, region := range tree.Regions() {
 		for _, service := range tree.Services(region) {
 			values := map[string]int{}
-			for _, origin := range tree.Lookup(region, service).Origins {
-				values[origin]++
+			for _, v := range tree.Lookup(region, service).Values() {
+				values[v.Origin]++
 			}
 			r.Services = append(r.Services, serviceSummary{region, service, values})
 		}
