--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -69,6 +70,14 @@
 	held      map[uint64]quarantined
 	blamed    map[uint64][]blame
 	incidents map[string]*incident
+	pending   []pendingEvent
+}
+
+// pendingEvent waits for the mutex to be free: a log stream that blocks must not
+// hold up Blocked, which every request calls.
+type pendingEvent struct {
+	event  *events.Event
+	fields []events.Field
 }
 
 // New returns an empty list.
@@ -100,6 +109,9 @@
 	return h.Sum64()
 }
 
+// Text is the form of a fingerprint in events and answers to operators.
+func Text(fp uint64) string { return fmt.Sprintf("%016x", fp) }
+
 // Blocked reports whether requests with this fingerprint are refused.
 func (l *List) Blocked(now time.Duration, fp uint64) bool {
 	if l.active.Load() == 0 {
@@ -115,7 +127,7 @@
 // one byte of the request was written.
 func (l *List) Broken(now time.Duration, fp uint64, address string) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	in := l.incident(now, address)
 	if !in.broke {
 		in.broke, in.first = true, fp
@@ -133,7 +145,7 @@
 // refused connection.
 func (l *List) Failed(now time.Duration, address string) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	in := l.incident(now, address)
 	in.confirmed = true
 	l.settle(now, address, in)
@@ -156,7 +168,7 @@
 // found here would.
 func (l *List) Merge(now time.Duration, fp uint64, remaining time.Duration) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	until := now + min(remaining, dynamic.MS(l.settings.DurationMS))
 	if until <= now || until <= l.held[fp].until {
 		return
@@ -167,14 +179,14 @@
 		return
 	}
 	l.hold(now, fp, quarantined{until: until, source: SourcePeer})
-	l.rec.Record(eventMerged, events.F("fingerprint", fp), events.F("for_ms", (until-now).Milliseconds()))
+	l.note(eventMerged, events.F("fingerprint", Text(fp)), events.F("for_ms", (until-now).Milliseconds()))
 }
 
 // Active returns the quarantines in force in the order of fingerprints and
 // forgets the ones that are over. It is called at least once a second.
 func (l *List) Active(now time.Duration) []Entry {
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	l.expire(now)
 	out := make([]Entry, 0, len(l.held))
 	for fp, q := range l.held {
@@ -184,6 +196,21 @@
 	return out
 }
 
+// note records an event once the mutex is free.
+func (l *List) note(e *events.Event, fields ...events.Field) {
+	l.pending = append(l.pending, pendingEvent{e, fields})
+}
+
+// unlock frees the mutex and records what note has gathered.
+func (l *List) unlock() {
+	pending := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	for _, p := range pending {
+		l.rec.Record(p.event, p.fields...)
+	}
+}
+
 // incident returns the incident that a failure at now belongs to.
 func (l *List) incident(now time.Duration, address string) *incident {
 	in := l.incidents[address]
@@ -227,14 +254,14 @@
 	}
 	duration := dynamic.MS(l.settings.DurationMS)
 	l.hold(now, fp, quarantined{until: now + duration, source: SourceOwn, addresses: addresses})
-	l.rec.Record(eventQuarantined, events.F("fingerprint", fp), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
+	l.note(eventQuarantined, events.F("fingerprint", Text(fp)), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
 }
 
 func (l *List) hold(now time.Duration, fp uint64, q quarantined) {
 	if len(l.held) >= maxQuarantined {
 		l.expire(now)
 		if n := trim(l.held, maxQuarantined, func(q quarantined) time.Duration { return q.until }); n > 0 {
-			l.rec.Record(eventEvicted, events.F("evicted", n))
+			l.note(eventEvicted, events.F("evicted", n))
 		}
 	}
 	l.held[fp] = q
@@ -262,7 +289,7 @@
 	for fp, q := range l.held {
 		if now >= q.until {
 			delete(l.held, fp)
-			l.rec.Record(eventReleased, events.F("fingerprint", fp))
+			l.note(eventReleased, events.F("fingerprint", Text(fp)))
 		}
 	}
 	l.active.Store(int32(len(l.held)))
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -153,6 +153,32 @@
 	require.Empty(t, l.Active(time.Hour))
 }
 
+// blocking is a recorder that asks the list, as a log stream that is slow for a
+// while would let requests do.
+type blocking struct {
+	l     *quarantine.List
+	names []string
+}
+
+func (b *blocking) Record(e *events.Event, _ ...events.Field) {
+	b.names = append(b.names, e.Name)
+	b.l.Blocked(time.Minute, crashing)
+}
+
+// Guards against events that are lost or are recorded while the list is locked,
+// which would hold up every request behind the log stream.
+func TestEventsAreRecordedUnlocked(t *testing.T) {
+	b := &blocking{}
+	b.l = quarantine.New(&dynamic.Service{Quarantine: dynamic.Quarantine{Breaks: 2, DurationMS: 60000}}, b)
+	for _, address := range []string{"a", "b"} {
+		b.l.Broken(time.Minute, crashing, address)
+		b.l.Failed(time.Minute, address)
+	}
+	b.l.Merge(time.Minute, innocent, time.Second)
+	b.l.Active(time.Hour)
+	require.Equal(t, []string{"request_quarantined", "quarantine_merged", "quarantine_over", "quarantine_over"}, b.names)
+}
+
 // Guards against different requests with one fingerprint.
 func TestFingerprint(t *testing.T) {
 	seen := map[uint64]bool{}
