--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -42,9 +42,12 @@
 
 var crashFingerprint = quarantine.Fingerprint("GET", "/crash", nil)
 
-// exchangePeriod is that of the exchange between entries, which spreads
-// quarantined fingerprints.
-const exchangePeriod = 500 * time.Millisecond
+// Parameters of the exchange between entries.
+const (
+	exchangePeriod = 500 * time.Millisecond
+	crossExchange  = 4  // every fourth exchange goes to another failure domain
+	reportBytes    = 48 // of one load report in an exchange, as encoded
+)
 
 // Result is the outcome of one run.
 type Result struct {
@@ -189,21 +192,60 @@
 	}
 }
 
-// exchange spreads quarantined fingerprints from entry to entry.
+// exchange models the exchange between entries: quarantined fingerprints and
+// fresh load reports go to a peer and back. It exists for other purposes too, but
+// its two messages count as probes where they carry reports. Only the product
+// shares reports.
 func (b *bench) exchange(r *rand.Rand) {
 	for i, e := range b.entries {
+		round := 0
 		b.loop.every(time.Duration(i)*20*time.Millisecond, exchangePeriod, b.scenario.Length, func() {
-			peer := b.entries[r.IntN(entries)]
-			for _, x := range e.crashes.Active(b.loop.now) {
-				peer.crashes.Merge(b.loop.now, x.Fingerprint, x.Remaining)
-			}
-			for _, x := range peer.crashes.Active(b.loop.now) {
-				e.crashes.Merge(b.loop.now, x.Fingerprint, x.Remaining)
-			}
+			round++
+			peer := b.peer(r, e, round%crossExchange == 0)
+			b.pass(e, peer)
+			b.loop.after(b.network.delay(b.loop.now, e.domain, peer.domain), func() { b.pass(peer, e) })
 		})
 	}
 }
 
+// peer draws another entry, in another failure domain or in the same.
+func (b *bench) peer(r *rand.Rand, e *entry, cross bool) *entry {
+	for {
+		if p := b.entries[r.IntN(entries)]; p != e && (p.domain != e.domain) == cross {
+			return p
+		}
+	}
+}
+
+// pass sends one message of the exchange.
+func (b *bench) pass(from, to *entry) {
+	var reports []routing.SharedReport
+	if b.variant.Policy == "lentilpin" {
+		reports = from.set.Reports(b.loop.now, dynamic.MS(b.settings.Routing.ReportMaxAgeMS))
+	}
+	if len(reports) > 0 {
+		b.result.count(1, reportBytes*len(reports), from.domain != to.domain)
+	}
+	blocked := from.crashes.Active(b.loop.now)
+	b.loop.after(b.network.delay(b.loop.now, from.domain, to.domain), func() {
+		for _, x := range reports {
+			to.set.Merge(b.loop.now, x)
+		}
+		for _, x := range blocked {
+			to.crashes.Merge(b.loop.now, x.Fingerprint, x.Remaining)
+		}
+	})
+}
+
+// count adds messages spent on measuring.
+func (r *Result) count(messages, bytes int, crosses bool) {
+	r.Probes += messages
+	r.ProbeBytes += bytes
+	if crosses {
+		r.CrossDomainProbes += messages
+	}
+}
+
 // late runs f after the report delay of the scenario.
 func (b *bench) late(f func()) {
 	if b.scenario.ReportDelay == 0 {
--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -22,6 +22,7 @@
 	attempts []*attempt
 	servers  []*routing.Server // of the attempts
 	pending  int
+	broken   int // attempts that ended with a broken connection
 	waiter   limit.Waiter
 	waiting  bool
 }
@@ -113,7 +114,7 @@
 }
 
 func (e *entry) accept(r *request) {
-	if r.crash && e.bench.variant.Guards && e.crashes.Blocked(e.bench.loop.now, crashFingerprint) {
+	if e.isBlocked(r) {
 		e.finish(r, false)
 		return
 	}
@@ -236,7 +237,7 @@
 	if o == routing.Success || o == routing.Canceled || o == routing.Timeout {
 		e.hedge.Record(latency)
 	}
-	if !e.bench.variant.Guards {
+	if !e.bench.variant.Guards || o == routing.Canceled {
 		return
 	}
 	a.server.SetLimit(e.limits[a.server].Record(latency, o))
@@ -247,11 +248,30 @@
 		e.crashes.Failed(now, a.server.Address())
 	case a.request.crash:
 		e.crashes.Broken(now, crashFingerprint, a.server.Address())
+		e.verify(a)
 	default:
 		e.crashes.Broken(now, fp, a.server.Address()) // any other request
+		e.verify(a)
 	}
 }
 
+// verify asks a backend server that broke a connection whether it accepts one,
+// as the gateway does. It counts as a probe.
+func (e *entry) verify(a *attempt) {
+	b := e.bench
+	a.request.broken++
+	b.result.count(1, measure.ProbeBytes, !a.server.Local())
+	there := b.network.delay(b.loop.now, e.domain, a.backend.domain)
+	b.loop.after(there, func() {
+		down := b.loop.now < a.backend.downTo
+		b.loop.after(b.network.delay(b.loop.now, e.domain, a.backend.domain), func() {
+			if down {
+				e.crashes.Failed(b.loop.now, a.server.Address())
+			}
+		})
+	})
+}
+
 // abandon ends an attempt whose response is not awaited and cancels it.
 func (e *entry) abandon(a *attempt, o routing.Outcome) {
 	e.end(a, o)
@@ -262,19 +282,34 @@
 	})
 }
 
-// failed retries after a failed attempt unless another one is still pending.
+// failed retries after a failed attempt. A request that broke as many backend
+// servers as quarantine needs waits first until they are verified.
 func (e *entry) failed(r *request) {
+	e.wake()
+	if r.broken >= e.bench.settings.Quarantine.Breaks && e.bench.variant.Guards {
+		e.bench.loop.after(3*e.bench.network.cross, func() { e.retry(r) })
+		return
+	}
+	e.retry(r)
+}
+
+func (e *entry) retry(r *request) {
 	switch {
-	case r.done || r.pending > 0:
-	case len(r.attempts) >= e.bench.settings.Retry.MaxAttempts || !e.retries.Take(e.bench.loop.now):
+	case r.done || r.waiting:
+	case e.isBlocked(r):
 		e.finish(r, false)
-	default:
+	case len(r.attempts) < e.bench.settings.Retry.MaxAttempts && e.retries.Take(e.bench.loop.now):
 		e.bench.result.Retries++
 		if !e.dispatch(r) {
 			e.enqueue(r)
 		}
+	case r.pending == 0:
+		e.finish(r, false)
 	}
-	e.wake()
+}
+
+func (e *entry) isBlocked(r *request) bool {
+	return r.crash && e.bench.variant.Guards && e.crashes.Blocked(e.bench.loop.now, crashFingerprint)
 }
 
 func (e *entry) giveUp(r *request) {
@@ -306,11 +341,7 @@
 		if !ok {
 			return
 		}
-		b.result.Probes++
-		b.result.ProbeBytes += measure.ProbeBytes
-		if !s.Local() {
-			b.result.CrossDomainProbes++
-		}
+		b.result.count(1, measure.ProbeBytes, !s.Local())
 		target := b.byAddress[s.Address()]
 		b.loop.after(b.network.delay(b.loop.now, e.domain, target.domain), func() {
 			if b.loop.now < target.downTo {
--- a/pkg/bench/output.go
+++ b/pkg/bench/output.go
@@ -150,23 +150,43 @@
 }
 
 // WriteSummary compares lentilpin with the best baseline of each scenario over
-// all seeds: mean and, in brackets, lowest and highest seed.
+// all seeds: mean and, in brackets, lowest and highest seed. The last lines
+// count the comparisons met, also for routing alone and against Prequal with
+// the same surroundings.
 func WriteSummary(w io.Writer, results []*Result) {
-	fmt.Fprintf(w, "%-8s %-11s | %-20s %-20s %-8s | %-20s %-20s %-8s | %-14s %s\n", "", "", "p99 ms lentilpin", "best baseline", "goal", "p99.9 ms lentilpin", "best baseline", "goal", "errors", "probes of Prequal's")
-	met, total := 0, 0
-	for _, c := range compare(summarize(results)) {
+	groups, baselines := summarize(results), map[string]bool{}
+	for _, v := range Variants() {
+		baselines[v.Name] = v.Baseline
+	}
+	fmt.Fprintf(w, "%-8s %-11s | %-20s %-20s %-7s | %-20s %-20s %-7s | %-11s %s\n", "", "", "p99 ms lentilpin", "best baseline", "goal", "p99.9 ms lentilpin", "best baseline", "goal", "errors", "probes of Prequal's")
+	for _, c := range compare(groups, "lentilpin", baselines) {
 		errs := fmt.Sprintf("%.0f/%.0f", c.product.errors().mean, c.best999.errors().mean)
-		fmt.Fprintf(w, "%-8s %-11s | %-20s %-20s %-8s | %-20s %-20s %-8s | %-14s %.4f\n",
+		fmt.Fprintf(w, "%-8s %-11s | %-20s %-20s %-7s | %-20s %-20s %-7s | %-11s %.4f\n",
 			c.product.Deployment, c.product.Scenario,
 			c.product.p99(), c.best99.p99(), verdict(c.met99()), c.product.p999(), c.best999.p999(), verdict(c.met999()), errs, c.probeShare)
-		total += 2
-		for _, ok := range []bool{c.met99(), c.met999()} {
+	}
+	fmt.Fprintln(w, "errors: lentilpin/best baseline by p99.9; a failed request counts as 2 s")
+	hedged := map[string]bool{"prequal-hedged": true}
+	writeCount(w, compare(groups, "lentilpin", baselines), "lentilpin against the best baseline")
+	writeCount(w, compare(groups, "lentilpin-nohedge", baselines), "lentilpin without hedges against the best baseline")
+	writeCount(w, compare(groups, "lentilpin-routingonly", baselines), "routing alone against the best baseline")
+	writeCount(w, compare(groups, "lentilpin", hedged), "lentilpin against prequal-hedged")
+}
+
+func writeCount(w io.Writer, list []comparison, what string) {
+	met := 0
+	var missed []string
+	for _, c := range list {
+		for name, ok := range map[string]bool{"p99": c.met99(), "p99.9": c.met999()} {
 			if ok {
 				met++
+			} else {
+				missed = append(missed, c.product.Deployment+"/"+c.product.Scenario+"/"+name)
 			}
 		}
 	}
-	fmt.Fprintf(w, "goal met in %d of %d comparisons; errors: lentilpin/best baseline by p99.9\n", met, total)
+	slices.Sort(missed)
+	fmt.Fprintf(w, "goal met in %d of %d comparisons: %s; missed: %s\n", met, 2*len(list), what, cmp.Or(strings.Join(missed, " "), "none"))
 }
 
 type comparison struct {
@@ -184,20 +204,22 @@
 	return "MISSED"
 }
 
-// compare pairs each group of lentilpin with the best baselines.
-func compare(groups []*group) []comparison {
-	baseline := map[string]bool{}
-	for _, v := range Variants() {
-		baseline[v.Name] = v.Baseline
-	}
+// compare pairs each group of a policy with the best of the others.
+func compare(groups []*group, policy string, others map[string]bool) []comparison {
 	var out []comparison
 	for _, p := range groups {
-		if p.Policy != "lentilpin" {
+		if p.Policy != policy {
 			continue
 		}
 		c := comparison{product: p}
 		for _, g := range groups {
-			if g.Deployment != p.Deployment || g.Scenario != p.Scenario || !baseline[g.Policy] {
+			if g.Deployment != p.Deployment || g.Scenario != p.Scenario {
+				continue
+			}
+			if g.Policy == "prequal" {
+				c.probeShare = p.probes().mean / g.probes().mean
+			}
+			if !others[g.Policy] {
 				continue
 			}
 			if c.best99 == nil || g.p99().mean < c.best99.p99().mean {
@@ -206,9 +228,6 @@
 			if c.best999 == nil || g.p999().mean < c.best999.p999().mean {
 				c.best999 = g
 			}
-			if g.Policy == "prequal" {
-				c.probeShare = p.probes().mean / g.probes().mean
-			}
 		}
 		if c.best99 != nil {
 			out = append(out, c)
