--- a/pkg/routing/lentilpin/lentilpin.go
+++ b/pkg/routing/lentilpin/lentilpin.go
@@ -74,7 +74,7 @@
 // cost is the expected latency of an attempt in nanoseconds.
 func (p *Policy) cost(now time.Duration, s *server.Server, trust float64) float64 {
 	slots := p.slots(now, s)
-	cost := p.service(s, slots) + p.wait(now, s, trust, slots)
+	cost := p.service(now, s, slots) + p.wait(now, s, trust, slots)
 	if !s.Local() {
 		cost += float64(p.options.CrossDomainPenalty)
 	}
@@ -84,12 +84,8 @@
 // service is the time that an attempt takes at the backend server without
 // waiting, in nanoseconds. The latency of attempts contains the mean wait, which
 // would otherwise count twice.
-func (p *Policy) service(s *server.Server, slots float64) float64 {
-	latency := float64(s.Latency())
-	if latency == 0 {
-		latency = float64(p.shared.MeanLatency())
-	}
-	return latency / (1 + max(0, p.shared.MeanLoad()+1-slots)/slots)
+func (p *Policy) service(now time.Duration, s *server.Server, slots float64) float64 {
+	return s.Expected(now) / (1 + max(0, p.shared.MeanLoad()+1-slots)/slots)
 }
 
 // preference is the share of the service time that one more request per slot
@@ -99,7 +95,7 @@
 // wait is the expected wait in nanoseconds.
 func (p *Policy) wait(now time.Duration, s *server.Server, trust, slots float64) float64 {
 	load := Load(now, s, p.shared, trust)
-	return p.service(s, slots) * (max(0, load+1-slots) + preference*load) / slots
+	return p.service(now, s, slots) * (max(0, load+1-slots) + preference*load) / slots
 }
 
 func (p *Policy) slots(now time.Duration, s *server.Server) float64 {
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -265,3 +265,22 @@
 		})
 	}
 }
+
+// Guards against a backend server that was slow once and never gets the attempt
+// that would show its recovery.
+func TestRecoveredServerGetsWorkAgain(t *testing.T) {
+	set := newSet(t, "lentilpin", 12)
+	slow, after := set.Servers()[0], 0
+	for i := range 10000 {
+		now, latency := time.Duration(i)*time.Millisecond, 10*time.Millisecond
+		s := set.Pick(now, nil)
+		if s == slow && i < 2000 {
+			latency *= 20
+		} else if s == slow && i >= 8000 {
+			after++
+		}
+		s.Observe(now, routing.Report{Inflight: 1, Slots: 6}, 0)
+		s.End(now, latency, routing.Success)
+	}
+	require.Greater(t, after, 2000/4/2, "half of the share in the own failure domain")
+}
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -68,7 +68,7 @@
 	probedAt  atomic.Int64 // time of the last probe plus one
 
 	endMu      sync.Mutex // serialises End's estimates
-	endAt      time.Duration
+	endAt      atomic.Int64
 	latency    atomic.Uint64 // float64 bits, nanoseconds
 	errors     atomic.Uint64 // float64 bits, share of attempts that failed
 	sampleAt   atomic.Int64  // start of the sampled attempt plus one; 0: none
@@ -168,8 +168,9 @@
 	}
 	s.endMu.Lock()
 	defer s.endMu.Unlock()
-	gap := max(0, now-s.endAt)
-	s.endAt = max(s.endAt, now)
+	last := time.Duration(s.endAt.Load())
+	gap := max(0, now-last)
+	s.endAt.Store(int64(max(last, now)))
 	if failed > 0 {
 		latency = max(latency, s.shared.ErrorLatency())
 	}
@@ -181,7 +182,7 @@
 		smooth(&s.errors, failed, gap, errorTime)
 	}
 	if o == Success {
-		s.shared.observeLatency(float64(latency))
+		s.shared.observeLatency(float64(latency), s.local)
 		s.endSample(now, latency)
 	}
 }
@@ -235,6 +236,28 @@
 	return time.Duration(math.Float64frombits(s.latency.Load()))
 }
 
+// fadeTime is the time constant with which the latency estimate of a backend
+// server without attempts returns to the mean. Without it, a backend server that
+// was slow once would get no attempt that shows its recovery.
+const fadeTime = 2 * time.Second
+
+// Expected returns the latency to expect of an attempt now, in nanoseconds: the
+// smoothed latency, faded towards the mean of the backend servers that are, as
+// this one, inside or outside the own failure domain.
+func (s *Server) Expected(now time.Duration) float64 {
+	own := math.Float64frombits(s.latency.Load())
+	mean := math.Float64frombits(s.shared.side(s.local).Load())
+	switch {
+	case own == 0 && mean == 0:
+		return float64(s.shared.MeanLatency())
+	case own == 0:
+		return mean
+	case mean == 0:
+		return own
+	}
+	return mean + (own-mean)*math.Exp(-float64(max(0, now-time.Duration(s.endAt.Load())))/float64(fadeTime))
+}
+
 // ErrorShare returns the smoothed share of attempts that failed.
 func (s *Server) ErrorShare() float64 { return math.Float64frombits(s.errors.Load()) }
 
--- a/pkg/routing/server/shared.go
+++ b/pkg/routing/server/shared.go
@@ -10,6 +10,7 @@
 type Shared struct {
 	load         atomic.Uint64 // float64 bits
 	latency      atomic.Uint64 // float64 bits, nanoseconds
+	near, far    atomic.Uint64 // the same for the own and for other failure domains
 	errorLatency atomic.Int64
 	trust        trust
 }
@@ -39,8 +40,19 @@
 	return time.Duration(math.Float64frombits(s.latency.Load()))
 }
 
-func (s *Shared) observeLoad(load float64)       { average(&s.load, load) }
-func (s *Shared) observeLatency(latency float64) { average(&s.latency, latency) }
+func (s *Shared) observeLoad(load float64) { average(&s.load, load) }
+
+func (s *Shared) observeLatency(latency float64, local bool) {
+	average(&s.latency, latency)
+	average(s.side(local), latency)
+}
+
+func (s *Shared) side(local bool) *atomic.Uint64 {
+	if local {
+		return &s.near
+	}
+	return &s.far
+}
 
 // Trust returns how far the deviations of load reports from their mean predict
 // latency, 0 to 1.
