--- a/pkg/membership/confirm.go
+++ b/pkg/membership/confirm.go
@@ -14,8 +14,11 @@
 	confirmRound = 100 * time.Millisecond // between calls while not confirmed
 	confirmCalls = 4                      // peers called in one such round
 	repeatCall   = 15 * time.Second       // a peer that replied is called again after this
-	repeatFailed = time.Second            // a peer that did not reply is called again after this
-	replyValid   = 30 * time.Second       // a reply without confirmation is believed for this
+	repeatFailed = 500 * time.Millisecond // a peer that did not reply is called again after this
+	// confirmTimeout is shorter than that of a round, because a silent peer
+	// would keep one of the few calls that may be under way.
+	confirmTimeout = 400 * time.Millisecond
+	replyValid     = 30 * time.Second // a reply without confirmation is believed for this
 )
 
 // answered notes a peer's reply and confirms the version where the reply
@@ -57,11 +60,13 @@
 		due = append(due, address)
 	}
 	t.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
-	due = due[:min(confirmCalls, len(due))]
-	for _, address := range due {
-		t.attempts[address] = now
-	}
-	return due
+	return due[:min(confirmCalls, len(due))]
+}
+
+func (t *Table) attempted(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.attempts[address] = t.now()
 }
 
 // confirmWithoutPeer confirms the version where nobody else can: there is no
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -45,6 +45,7 @@
 	bytes     int // of exchanges, sent
 	exchanges int
 	trees     int
+	withheld  bool // Tree calls fail
 }
 
 // node is one incarnation of an entry. While paused its clock stands still and
@@ -108,6 +109,22 @@
 	f.wake()
 }
 
+// freeze makes the service stale for everyone.
+func (f *fleet) freeze(version uint64) {
+	for _, i := range f.list {
+		f.frozen[i.FailureDomain] = version
+	}
+}
+
+// cutGroup separates the first k nodes from the others.
+func (f *fleet) cutGroup(k int, on bool) {
+	for _, a := range f.list[:k] {
+		for _, b := range f.list[k:] {
+			f.cuts[[2]string{a.Address, b.Address}] = on
+		}
+	}
+}
+
 // boot starts a new incarnation of the i-th instance.
 func (f *fleet) boot(i int, onUnconfirmed string) *node {
 	f.mu.Lock()
@@ -311,10 +328,14 @@
 // Tree implements membership.Client.
 func (n *node) Tree(ctx context.Context, address string, in *peerpb.TreeRequest) (*peerpb.TreeResponse, error) {
 	replies := make(chan *peerpb.TreeResponse, 1)
+	n.f.mu.Lock()
+	n.f.trees++
+	withheld := n.f.withheld
+	n.f.mu.Unlock()
+	if withheld {
+		return nil, errDown
+	}
 	err := n.call(ctx, address, func(to *node) {
-		n.f.mu.Lock()
-		n.f.trees++
-		n.f.mu.Unlock()
 		replies <- to.table.HandleTree(in)
 	})
 	if err != nil {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -65,7 +65,7 @@
 				},
 				"cut group": func(rt *rapid.T) {
 					k := rapid.IntRange(1, 9).Draw(rt, "group")
-					f.set(func() { f.cutGroup(k) })
+					f.set(func() { f.cutGroup(k, true) })
 				},
 				"heal":   func(*rapid.T) { f.set(func() { clear(f.cuts) }) },
 				"pause":  func(*rapid.T) { node().pause() },
@@ -104,42 +104,51 @@
 	})
 }
 
-// cutGroup separates the first k nodes from the others.
-func (f *fleet) cutGroup(k int) {
-	for i, a := range f.list {
-		for _, b := range f.list[i+1:] {
-			if i < k && !slices.Contains(f.list[:k], b) {
-				f.cuts[[2]string{a.Address, b.Address}] = true
-			}
-		}
+// Guards against an instance that trusts a stale service: new ones that read
+// version 1 are not ready until they have version 3 from their peers, however
+// long they cannot reach them, and cannot confirm each other.
+func TestNewInstancesAndStaleService(t *testing.T) {
+	tests := []struct {
+		desc    string
+		new     int
+		isolate func(f *fleet, on bool)
+	}{
+		{"peers reachable", 19, nil},
+		{"one cut off", 1, func(f *fleet, on bool) { f.cutGroup(1, on) }},
+		{"two cut off together", 2, func(f *fleet, on bool) { f.cutGroup(2, on) }},
+		{"trees withheld", 2, func(f *fleet, on bool) { f.withheld = on }},
 	}
-}
-
-// Guards against an instance that trusts a stale service: a new one that reads
-// version 1 must learn version 3 from its peers before it is ready.
-func TestNewInstanceAndStaleService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(1, 19, 3)
-		f.bootAll()
-		defer f.stopAll()
-		f.within(t, 30*time.Second, ready)
-		f.publish()
-		f.publish()
-		f.within(t, 5*time.Second, has(3))
-		f.set(func() {
-			for _, i := range f.list {
-				f.frozen[i.FailureDomain] = 1
-			}
+	for _, tc := range tests {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(1, 19, 3)
+				f.bootAll()
+				defer f.stopAll()
+				f.within(t, 30*time.Second, ready)
+				f.publish()
+				f.publish()
+				f.within(t, 5*time.Second, has(3))
+				f.set(func() { f.freeze(1) })
+				if tc.isolate != nil {
+					f.set(func() { tc.isolate(f, true) })
+				}
+				for i := range tc.new {
+					f.kill(f.nodes[f.list[i].Address])
+					n := f.boot(i, "wait")
+					if tc.isolate == nil {
+						f.within(t, 10*time.Second, func(o *node) bool { return o != n || ready(o) })
+					}
+				}
+				if tc.isolate != nil {
+					time.Sleep(10 * time.Second)
+					require.Equal(t, 19-tc.new, f.count(ready))
+					f.set(func() { tc.isolate(f, false) })
+				}
+				f.within(t, 5*time.Second, ready)
+				require.Equal(t, 19, f.count(has(3)))
+			})
 		})
-		for i := range 19 {
-			f.kill(f.nodes[f.list[i].Address])
-			n := f.boot(i, "wait")
-			for !ready(n) {
-				time.Sleep(ms)
-			}
-			require.Equal(t, uint64(3), n.store.Version(), n.self.Instance)
-		}
-	})
+	}
 }
 
 // Guards against a paused process that serves with old settings, or that takes
@@ -151,7 +160,7 @@
 		f.bootAll()
 		defer f.stopAll()
 		f.within(t, 30*time.Second, ready)
-		n := f.nodes[f.list[4].Address]
+		n := f.nodes[f.list[0].Address]
 		for i := range 8 {
 			f.set(func() { f.frozen[n.self.FailureDomain], f.down[n.self.FailureDomain] = 1, i%2 == 0 })
 			n.pause()
@@ -159,12 +168,15 @@
 			f.publish()
 			version := uint64(len(f.published))
 			time.Sleep(2 * time.Second)
+			f.set(func() { f.cutGroup(1, true) })
 			n.resume()
-			require.False(t, ready(n))
-			for !ready(n) {
-				time.Sleep(ms)
+			for range 11 { // the stale service replies within a second
+				require.False(t, ready(n))
+				time.Sleep(100 * ms)
 			}
-			require.Equal(t, version, n.store.Version())
+			f.set(func() { clear(f.cuts) })
+			f.within(t, 10*time.Second, ready)
+			require.Equal(t, version, n.store.Version(), "confirmed by %s", n.store.State().By)
 		}
 	})
 }
--- a/pkg/membership/runner.go
+++ b/pkg/membership/runner.go
@@ -15,7 +15,7 @@
 
 // Times of the Runner.
 const (
-	peersFirst = 2 * time.Second // peers have this long to confirm before the service may
+	peersFirst = 3 * time.Second // peers have this long to confirm before the service may; two calls may time out first
 	serveAfter = 5 * time.Second // with onUnconfirmed "serve"
 )
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -24,7 +24,7 @@
 	treeTimeout      = 3 * time.Second
 	noticePeers      = 3
 	maxCalls         = 8 // calls under way that this instance started
-	maxFetches       = 2 // trees under way
+	maxFetches       = 2 // trees under way, for each of the two reasons to fetch
 	// DefaultBytesPerSecond is sent by one instance in exchanges. As much is
 	// received, so that both stay below the 12 KB/s of control overhead.
 	DefaultBytesPerSecond = 4096
@@ -64,9 +64,13 @@
 	o       Options
 	notices chan struct{}
 	pulls   chan pull
-	fetches chan struct{}
-	calls   chan struct{}
-	wg      sync.WaitGroup
+	// A peer that stated a higher version in its own call may be cut off by
+	// the time it is asked; such fetches must not hold up those from a peer
+	// that has just replied.
+	fetchCallers  chan struct{}
+	fetchRepliers chan struct{}
+	calls         chan struct{}
+	wg            sync.WaitGroup
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -101,14 +105,15 @@
 		o.Seed = rand.Uint64()
 	}
 	t := &Table{
-		o:       o,
-		notices: make(chan struct{}, 1),
-		pulls:   make(chan pull, 16),
-		fetches: make(chan struct{}, maxFetches),
-		calls:   make(chan struct{}, maxCalls),
-		random:  rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
-		self:    proto.CloneOf(o.Self),
-		records: map[uint64]*record{}, replies: map[string]reply{},
+		o:             o,
+		notices:       make(chan struct{}, 1),
+		pulls:         make(chan pull, 16),
+		fetchCallers:  make(chan struct{}, maxFetches),
+		fetchRepliers: make(chan struct{}, maxFetches),
+		calls:         make(chan struct{}, maxCalls),
+		random:        rand.New(rand.NewPCG(o.Seed, o.Self.Incarnation)),
+		self:          proto.CloneOf(o.Self),
+		records:       map[uint64]*record{}, replies: map[string]reply{},
 		attempts: map[string]time.Duration{}, failures: map[string]int{},
 		budget: budget{rate: o.BytesPerSecond},
 	}
@@ -252,17 +257,19 @@
 			return
 		case <-t.notices:
 			for _, address := range t.choose(noticePeers) {
-				t.start(ctx, address, true)
+				t.start(ctx, address, true, exchangeTimeout)
 			}
 		case p := <-t.pulls:
-			t.wg.Go(func() { t.fetch(ctx, p.address, p.version) })
+			t.wg.Go(func() { t.fetch(ctx, t.fetchCallers, p.address, p.version) })
 		case <-ticker.C:
 			if t.now() >= next {
 				next = t.now() + round
 				t.round(ctx)
 			}
 			for _, address := range t.unanswered() {
-				t.start(ctx, address, true)
+				if t.start(ctx, address, true, confirmTimeout) {
+					t.attempted(address)
+				}
 			}
 			t.confirmWithoutPeer()
 		}
@@ -283,21 +290,23 @@
 	own := t.rounds%otherDomainEvery != 0
 	t.mu.Unlock()
 	if address := t.choosePeer(own); address != "" {
-		t.start(ctx, address, false)
+		t.start(ctx, address, false, exchangeTimeout)
 	}
 }
 
-// start begins an exchange unless too many calls are under way.
-func (t *Table) start(ctx context.Context, address string, small bool) {
+// start begins an exchange and reports whether it did; it does not where too
+// many calls are under way.
+func (t *Table) start(ctx context.Context, address string, small bool, timeout time.Duration) bool {
 	select {
 	case t.calls <- struct{}{}:
 	default:
-		return
+		return false
 	}
 	t.wg.Go(func() {
 		defer func() { <-t.calls }()
-		t.exchange(ctx, address, small)
+		t.exchange(ctx, address, small, timeout)
 	})
+	return true
 }
 
 // Announce sends the own record to three peers and waits for their replies.
@@ -306,18 +315,18 @@
 func (t *Table) Announce(ctx context.Context) {
 	var wg sync.WaitGroup
 	for _, address := range t.choose(noticePeers) {
-		wg.Go(func() { t.exchange(ctx, address, true) })
+		wg.Go(func() { t.exchange(ctx, address, true, exchangeTimeout) })
 	}
 	wg.Wait()
 }
 
-func (t *Table) exchange(ctx context.Context, address string, small bool) {
+func (t *Table) exchange(ctx context.Context, address string, small bool, timeout time.Duration) {
 	epoch := t.o.Store.Epoch()
 	s := t.readSource(t.domainOf(address) == t.o.Self.FailureDomain)
 	t.mu.Lock()
 	in := t.compose(t.now(), s, small)
 	t.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	out, err := t.o.Client.Exchange(callCtx, address, in)
 	t.mu.Lock()
@@ -333,16 +342,16 @@
 	t.mu.Unlock()
 	t.mergeSource(out.Drains, out.Quarantines, out.Reports)
 	if t.wanted(out.Header, address) {
-		t.fetch(ctx, address, out.Header.Version)
+		t.fetch(ctx, t.fetchRepliers, address, out.Header.Version)
 	}
 	t.answered(epoch, address, out.Header)
 }
 
 // fetch takes the tree of a peer that stated a higher version.
-func (t *Table) fetch(ctx context.Context, address string, version uint64) {
+func (t *Table) fetch(ctx context.Context, slots chan struct{}, address string, version uint64) {
 	select {
-	case t.fetches <- struct{}{}:
-		defer func() { <-t.fetches }()
+	case slots <- struct{}{}:
+		defer func() { <-slots }()
 	case <-ctx.Done():
 		return
 	}
