--- a/pkg/audit/log.go
+++ b/pkg/audit/log.go
@@ -56,7 +56,8 @@
 	if i := slices.Index(Outcomes, r.Outcome); i >= 0 {
 		l.outcomes[i]++
 	}
-	if r.Reason != "" {
+	// A replay has a reason as well, but it was answered.
+	if r.Reason != "" && r.Outcome != Answered {
 		l.refuse(&r)
 	}
 }
--- a/pkg/gateway/order.go
+++ b/pkg/gateway/order.go
@@ -15,7 +15,7 @@
 // Waits between two questions for the result of a request that is still under
 // way with the same key.
 const (
-	firstProgressWait = 20 * time.Millisecond
+	firstProgressWait = 5 * time.Millisecond
 	maxProgressWait   = 200 * time.Millisecond
 )
 
