--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -138,11 +139,73 @@
 	require.True(t, accept(w.nodes[2], chunks[0]))
 	require.False(t, accept(w.nodes[2], gap), "chunk missing")
 	require.Zero(t, w.nodes[2].Stats().AdoptedClaims)
+	w.nodes[2].checkSizes(t)
 	w.nodes[2].Seal()
 	require.False(t, accept(w.nodes[2], chunks[0]), "sealed")
 	require.False(t, accept(w.nodes[0], chunks[0]), "own ledger")
 }
 
+// Guards against a ledger that is sent again, in its old state, to a process
+// that replaced the successor at the same address.
+func TestHandoverIsNotRepeated(t *testing.T) {
+	w := calm(t)
+	w.fate = func() string { return "reply lost" }
+	key := w.nodes[0].Issue(time.Minute)
+	require.ErrorIs(t, w.nodes[0].HandOver(context.Background(), w.nodes[0], w.nodes[1].address), context.DeadlineExceeded)
+	require.Equal(t, 1, w.seen["message reply lost"])
+	w.fate = func() string { return "ok" }
+	require.Equal(t, StateGranted, w.claim(w.nodes[1], key, "1").State)
+	w.start(1, OwnerOptions{})
+	for _, to := range w.nodes[1:] {
+		require.ErrorIs(t, w.nodes[0].HandOver(context.Background(), w.nodes[0], to.address), ErrHandoverEnded)
+		require.Equal(t, StateOwnerGone, w.claim(to, key, "1").State)
+	}
+}
+
+// overSockets are the calls of package peer as Peers.
+type overSockets struct{ *peer.Client }
+
+func (overSockets) Successor(string, uint64) string { return "" }
+
+// entryServer serves one owner.
+type entryServer struct {
+	peerpb.DRPCPeerUnimplementedServer
+	owner *Owner
+}
+
+func (s *entryServer) Claim(_ context.Context, in *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
+	return s.owner.Claim(in), nil
+}
+
+func (s *entryServer) Handover(_ context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error) {
+	return s.owner.Accept(in), nil
+}
+
+// Guards against chunks or claims that the bounds of package peer refuse.
+func TestLedgerOverSockets(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	w := calm(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	o := peer.Options{Secret: "secret", Header: func() *peerpb.Header { return &peerpb.Header{Instance: "entry-1"} }}
+	served := make(chan error, 1)
+	go func() { served <- peer.Serve(ctx, l, &entryServer{owner: w.nodes[1].Owner}, o) }()
+	defer func() { cancel(); require.NoError(t, <-served) }()
+	c := peer.NewClient(o)
+	defer c.Close()
+
+	from := w.nodes[0].Owner
+	from.chunkBytes = defaultChunkBytes
+	fillMany(from, 400, 4096)
+	key := from.Issue(time.Minute)
+	require.Len(t, from.Chunks(), 2)
+	require.NoError(t, from.HandOver(ctx, overSockets{c}, l.Addr().String()))
+	require.Equal(t, 400, w.nodes[1].Stats().AdoptedClaims)
+	resp, err := c.Claim(ctx, l.Addr().String(), &peerpb.ClaimRequest{Key: key, Fingerprint: make([]byte, 32)})
+	require.NoError(t, err)
+	require.Equal(t, peerpb.ClaimState_CLAIM_STATE_GRANTED, resp.GetState())
+}
+
 // Guards against a handover that does not wait for open grants or waits beyond
 // their limit.
 func TestDrainWaitsForOpenGrants(t *testing.T) {
--- a/pkg/ledger/machine_test.go
+++ b/pkg/ledger/machine_test.go
@@ -144,7 +144,7 @@
 		fate := func() string {
 			return draw(t, "fate", "ok", "ok", "ok", "slow", "lost", "late", "reply lost", "repeated")
 		}
-		m := &machine{world: newWorld(t, OwnerOptions{MaxClaims: 4, MaxReplayBytes: 34}, fate)}
+		m := &machine{world: newWorld(t, OwnerOptions{MaxClaims: 4, MaxReplayBytes: 20}, fate)}
 		m.seen = seen
 		m.beforeChunk = func(to *node) {
 			if len(m.keys) > 0 && rapid.IntRange(0, 5).Draw(t, "replace the successor") == 0 {
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -270,9 +270,10 @@
 func TestClientRefusesMessages(t *testing.T) {
 	r := newRecorder()
 	c := newTestClient(t, testOptions(r))
-	address, _, _ := start(t, &service{}, testOptions(nil))
+	address, l, _ := start(t, &service{}, testOptions(nil))
 	_, err := claim(c, address, strings.Repeat("x", smallMessage), time.Minute)
 	require.ErrorIs(t, err, ErrRefused)
+	require.Zero(t, l.accepted.Load())
 	require.Equal(t, "2702 oversized", <-r)
 
 	bare := testOptions(nil)
@@ -342,25 +343,37 @@
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
-// Guards against one peer taking any number of connections of either side.
+// Guards against one peer taking any number of connections of either side, and
+// against bounds that count ended calls or connections.
 func TestConnectionsAreBounded(t *testing.T) {
-	r := newRecorder()
-	s := newService()
+	r, s := newRecorder(), newService()
 	o := testOptions(r)
-	o.MaxPerPeer, o.MaxConnections = 1, 1
+	o.MaxPerPeer, o.MaxConnections = 2, 2
 	address, _, _ := start(t, s, o)
 	c := newTestClient(t, o)
-	blocked := s.hold(c, address, time.Minute)
-	_, err := claim(c, address, "1", 20*time.Millisecond) // waits for the slot
+	first := s.hold(c, address, time.Minute)
+	for range 3 {
+		_, err := claim(c, address, "1", time.Minute)
+		require.NoError(t, err)
+	}
+	second := s.hold(c, address, time.Minute)
+	_, err := claim(c, address, "2", 20*time.Millisecond) // waits for a slot
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	require.Equal(t, "2703", <-r)
-	_, err = claim(newTestClient(t, testOptions(nil)), address, "2", time.Minute)
+	other := newTestClient(t, testOptions(nil))
+	_, err = claim(other, address, "3", time.Minute)
 	require.Error(t, err)
 	require.Equal(t, "2706", <-r)
-	require.EqualValues(t, 1, s.claims.Load())
+	require.EqualValues(t, 5, s.claims.Load())
 	s.block <- struct{}{}
-	require.NoError(t, <-blocked)
+	s.block <- struct{}{}
+	require.NoError(t, <-first)
+	require.NoError(t, <-second)
 	require.Empty(t, c.peers)
+	require.NoError(t, c.Close())
+	for err != nil { // until the server has seen the connections end
+		_, err = claim(other, address, "4", time.Minute)
+	}
 }
 
 // Guards against a caller that begins a call and never sends its message.
