--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 FUZZ_SECONDS ?= 60
 
-.PHONY: all build fmt vet staticcheck check test fuzz bench demo generate clean
+.PHONY: all build fmt vet staticcheck check test fuzz bench demo events generate clean
 
 all: check
 
@@ -33,6 +33,17 @@
 	if [ -n "$$rapid" ]; then $(GO) test -race -count=1 -timeout 300s $$rapid -rapid.seed=$(SEED) -rapid.nofailfile || status=1; fi; \
 	exit $$status
 
+fuzz:
+	scripts/fuzz.sh $(FUZZ_SECONDS) $(RAPID_PACKAGES)
+
+# The demo ends by itself; timeout bounds it where something hangs.
+demo: build
+	timeout --kill-after=5 30 demo/run.sh
+
+# Writes the catalogue of log events from the code.
+events:
+	UPDATE_EVENTS=1 $(GO) test -count=1 -run TestCatalogueMatchesTheCode ./pkg/entry
+
 generate:
 	$(GO) build -o $(BIN)/tools/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	PATH="$(CURDIR)/$(BIN)/tools:$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
@@ -40,3 +51,5 @@
 
 clean:
 	rm -rf $(BIN) out
+
+include bench.mk
--- a/pkg/routing/server/shared.go
+++ b/pkg/routing/server/shared.go
@@ -10,7 +10,9 @@
 type Shared struct {
 	load         atomic.Uint64 // float64 bits
 	latency      atomic.Uint64 // float64 bits, nanoseconds
+	near, far    atomic.Uint64 // the same for the own and for other failure domains
 	errorLatency atomic.Int64
+	trust        trust
 }
 
 // sharedGain is the weight of one report or response in the mean over all
@@ -38,8 +40,23 @@
 	return time.Duration(math.Float64frombits(s.latency.Load()))
 }
 
-func (s *Shared) observeLoad(load float64)       { average(&s.load, load) }
-func (s *Shared) observeLatency(latency float64) { average(&s.latency, latency) }
+func (s *Shared) observeLoad(load float64) { average(&s.load, load) }
+
+func (s *Shared) observeLatency(latency float64, local bool) {
+	average(&s.latency, latency)
+	average(s.side(local), latency)
+}
+
+func (s *Shared) side(local bool) *atomic.Uint64 {
+	if local {
+		return &s.near
+	}
+	return &s.far
+}
+
+// Trust returns how far the deviations of load reports from their mean predict
+// latency, 0 to 1.
+func (s *Shared) Trust() float64 { return s.trust.value() }
 
 // average may lose one of two concurrent samples, which a mean tolerates.
 func average(v *atomic.Uint64, sample float64) {
