--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -132,6 +132,8 @@
 	body    requestBody
 	timeout [1]string
 	agent   [1]string
+
+	exchange [1]string // value of ExchangeHeader
 }
 
 type requestBody struct{ bytes.Reader }
--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -25,8 +25,9 @@
 // closed: a byte that nobody asked for belongs to an earlier exchange. A
 // backend server that sent such bytes gets a new connection for each exchange
 // for unsolicitedHold, because HTTP/1.1 cannot tell a late response that
-// arrives after the check from the response to the request. Where request and
-// response both carry Lentilpin-Request-Id the two must agree.
+// arrives after the check from the response to the request. A backend server
+// that returns the field Lentilpin-Exchange closes that gap: a response with
+// the value of another exchange is refused.
 //
 // # Responses
 //
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -27,7 +27,8 @@
 // Do sends the request to the backend server and returns the head of the
 // response. The request is written at most once. The context covers the whole
 // exchange, the body of the response included: when it ends the connection is
-// closed. Its deadline is passed on in the field that the settings name.
+// closed. A context that was cancelled with the cause context.DeadlineExceeded
+// counts as a timeout. Its deadline is passed on in the field that the settings name.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, *Failure) {
 	s := p.settings()
 	if err := check(r, s); err != nil {
@@ -64,6 +65,7 @@
 
 func (x *exchange) run(ctx context.Context, address string, r *Request, s *dynamic.Service) (*Response, *Failure) {
 	names := x.pool.fieldNames(s)
+	x.scratch.exchange[0] = x.pool.prefix + strconv.FormatUint(x.pool.exchanges.Add(1), 36)
 	if err := x.scratch.prepare(ctx, address, r, names); err != nil {
 		return nil, x.fail(ctx, Timeout, err)
 	}
@@ -86,6 +88,7 @@
 	}
 	x.conn.budget = maxResponseBytes
 	x.response = Response{Status: head.StatusCode, Header: head.Header, ContentLength: head.ContentLength}
+	delete(head.Header, ExchangeHeader)
 	x.response.Signals = names.takeSignals(head.StatusCode, head.Header)
 	removeHopByHop(head.Header)
 	if head.Body == http.NoBody || head.ContentLength == 0 || r.Method == http.MethodHead {
@@ -141,6 +144,7 @@
 		s.agent[0] = "" // keeps http.Request.Write from adding its own
 		s.header["User-Agent"] = s.agent[:]
 	}
+	s.header[ExchangeHeader] = s.exchange[:]
 	delete(s.header, names.timeout)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
@@ -212,8 +216,7 @@
 	if hasBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
 		return ErrUnframed
 	}
-	sent, got := r.Header[RequestIDHeader], head.Header[RequestIDHeader]
-	if len(got) > 0 && (len(sent) != 1 || len(got) != 1 || got[0] != sent[0]) {
+	if got := head.Header[ExchangeHeader]; len(got) > 0 && (len(got) > 1 || got[0] != x.scratch.exchange[0]) {
 		x.pool.recorder.Record(eventMismatch, events.F("address", x.conn.backend.address))
 		return ErrMismatch
 	}
@@ -250,7 +253,7 @@
 	case c != nil && c.silent.Load():
 		f.Kind, f.Err = Timeout, ErrSilent
 	case ctx.Err() != nil:
-		f.Err = ctx.Err()
+		f.Err = context.Cause(ctx)
 		f.Kind = Canceled
 		if errors.Is(f.Err, context.DeadlineExceeded) {
 			f.Kind = Timeout
@@ -321,7 +324,7 @@
 	c := x.conn
 	c.backend.drop(c, false)
 	x.scratch.give()
-	switch ctxErr := ctx.Err(); {
+	switch ctxErr := context.Cause(ctx); {
 	case ctxErr == nil && errors.Is(err, ErrTooLarge):
 		err = ErrTooLarge
 	case ctxErr == nil:
--- a/pkg/transport/failure_test.go
+++ b/pkg/transport/failure_test.go
@@ -118,11 +118,21 @@
 // Guards against an exchange that outlives its context, and against a
 // connection that stays open when nobody waits for the response any more.
 func TestCancellationClosesTheConnection(t *testing.T) {
-	for _, inBody := range []bool{false, true} {
+	tests := []struct {
+		inBody bool
+		cause  error
+		kind   transport.FailureKind
+	}{
+		{false, context.Canceled, transport.Canceled},
+		{false, context.DeadlineExceeded, transport.Timeout},
+		{true, context.Canceled, transport.Canceled}, // the head may not have been read yet
+		{true, context.DeadlineExceeded, transport.Timeout},
+	}
+	for _, tc := range tests {
 		arrived, gone := make(chan struct{}), make(chan struct{})
 		s := serve(t, func(c net.Conn, _ int) {
 			requests(c, func(*http.Request, []byte) bool {
-				if inBody {
+				if tc.inBody {
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab")
 				}
 				close(arrived)
@@ -134,16 +144,16 @@
 			})
 		})
 		p := newPool(t, nil, transport.Options{})
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancelCause(context.Background())
 		go func() {
 			<-arrived
-			cancel()
+			cancel(tc.cause)
 		}()
 		_, _, err := fetch(ctx, p, s.address(), get("/"))
-		require.ErrorIs(t, err, context.Canceled)
+		require.ErrorIs(t, err, tc.cause)
 		var f *transport.Failure
 		if errors.As(err, &f) {
-			require.Equal(t, transport.Canceled, f.Kind)
+			require.Equal(t, tc.kind, f.Kind)
 			require.False(t, f.NotRun)
 		}
 		<-gone
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +49,9 @@
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 	names    atomic.Pointer[fieldNames]
 
+	prefix    string // random, so that exchanges of different pools differ
+	exchanges atomic.Uint64
+
 	mu       sync.Mutex
 	backends map[string]*backend
 	sweep    *time.Timer // nil while there are no connections
@@ -55,7 +60,10 @@
 
 // NewPool returns an empty pool.
 func NewPool(o Options) *Pool {
-	p := &Pool{settings: o.Settings, recorder: o.Recorder, dial: o.Dial, backends: map[string]*backend{}}
+	p := &Pool{
+		settings: o.Settings, recorder: o.Recorder, dial: o.Dial, backends: map[string]*backend{},
+		prefix: strconv.FormatUint(rand.Uint64(), 36) + "-",
+	}
 	if p.recorder == nil {
 		p.recorder = events.Discard{}
 	}
--- a/pkg/transport/property_test.go
+++ b/pkg/transport/property_test.go
@@ -39,7 +39,7 @@
 			token := r.Header.Get("X-Token")
 			w.mu.Lock()
 			w.read[token]++
-			if len(r.Header["X-"+token]) != 1 || len(r.Header) != 4 {
+			if len(r.Header["X-"+token]) != 1 || len(r.Header) != 5 {
 				w.mixed = append(w.mixed, fmt.Sprint(token, r.Header))
 			}
 			w.mu.Unlock()
--- a/pkg/transport/response_test.go
+++ b/pkg/transport/response_test.go
@@ -18,8 +18,8 @@
 // then closes it, or leaves it open.
 func once(t *testing.T, raw string, open bool) *server {
 	return serve(t, func(c net.Conn, _ int) {
-		requests(c, func(*http.Request, []byte) bool {
-			_, err := io.WriteString(c, raw)
+		requests(c, func(r *http.Request, _ []byte) bool {
+			_, err := io.WriteString(c, strings.ReplaceAll(raw, "$EXCHANGE", r.Header.Get(transport.ExchangeHeader)))
 			return open && err == nil
 		})
 	})
@@ -116,9 +116,11 @@
 			signals: transport.Signals{HasReport: true, Draining: true, Shed: true}},
 		{desc: "shed on success", raw: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nBackend-Shed: not-run\r\n\r\n", reused: true,
 			header: http.Header{"Content-Length": {"0"}}},
-		{desc: "own identifier", raw: ok + "Lentilpin-Request-Id: a-1\r\n\r\nok", reused: true, body: "ok",
-			header: http.Header{"Content-Length": {"2"}, "Lentilpin-Request-Id": {"a-1"}}},
-		{desc: "identifier of another request", raw: ok + "Lentilpin-Request-Id: a-2\r\n\r\nok", err: transport.ErrMismatch, kind: transport.Malformed},
+		{desc: "own exchange", raw: ok + "Lentilpin-Exchange: $EXCHANGE\r\n\r\nok", reused: true, body: "ok",
+			header: http.Header{"Content-Length": {"2"}}},
+		{desc: "another exchange", raw: ok + "Lentilpin-Exchange: x-1\r\n\r\nok", err: transport.ErrMismatch, kind: transport.Malformed},
+		{desc: "two exchanges", raw: ok + "Lentilpin-Exchange: $EXCHANGE\r\nLentilpin-Exchange: $EXCHANGE\r\n\r\nok",
+			err: transport.ErrMismatch, kind: transport.Malformed},
 		{desc: "ends with the connection", raw: "HTTP/1.1 200 OK\r\n\r\nok", err: transport.ErrUnframed, kind: transport.Malformed},
 		{desc: "two lengths", raw: ok + "Content-Length: 3\r\n\r\nok", kind: transport.Malformed},
 		{desc: "large head", raw: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 128<<10), err: transport.ErrTooLarge, kind: transport.Malformed},
@@ -131,7 +133,6 @@
 			p := newPool(t, nil, transport.Options{})
 			for range 2 {
 				r := get("/")
-				r.Header = http.Header{"Lentilpin-Request-Id": {"a-1"}}
 				if tc.method != "" {
 					r.Method = tc.method
 				}
@@ -198,7 +199,7 @@
 		require.Equal(t, target, got.RequestURI)
 		require.Equal(t, "varasto", got.Host)
 		require.Equal(t, []string{"a", "b"}, got.Header["X-End"])
-		require.Len(t, got.Header, 4, "%v", got.Header) // X-End, X-Split, Content-Length, Request-Timeout
+		require.Len(t, got.Header, 5, "%v", got.Header) // X-End, X-Split, Content-Length, Request-Timeout, Lentilpin-Exchange
 		require.LessOrEqual(t, len(got.Header.Get("Request-Timeout")), 5)
 	}
 }
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -18,13 +18,14 @@
 	ErrClosed          = errors.New("pool closed")
 	ErrTooLarge        = errors.New("message too large")
 	ErrUnframed        = errors.New("response does not state its length")
-	ErrMismatch        = errors.New("response carries the identifier of another request")
+	ErrMismatch        = errors.New("response belongs to another exchange")
 	ErrInvalidRequest  = errors.New("request cannot be sent")
 )
 
-// RequestIDHeader identifies a request. A backend server may return it; the
-// response is then refused unless the two are equal.
-const RequestIDHeader = "Lentilpin-Request-Id"
+// ExchangeHeader names one exchange of one pool. It is set on every request. A
+// backend server may return it; a response that carries another value than its
+// request is refused.
+const ExchangeHeader = "Lentilpin-Exchange"
 
 // Request is one request to a backend server. Do does not change it.
 type Request struct {
--- a/standin/backend/handler.go
+++ b/standin/backend/handler.go
@@ -19,11 +19,11 @@
 
 // Header fields between an entry and a backend server.
 const (
-	loadHeader    = "endpoint-load-metrics"
-	stateHeader   = "Backend-State"
-	shedHeader    = "Backend-Shed"
-	timeoutHeader = "Request-Timeout"
-	idHeader      = "Lentilpin-Request-Id"
+	loadHeader     = "endpoint-load-metrics"
+	stateHeader    = "Backend-State"
+	shedHeader     = "Backend-Shed"
+	timeoutHeader  = "Request-Timeout"
+	exchangeHeader = "Lentilpin-Exchange"
 
 	// OrderHeader identifies an order; without it the token does.
 	OrderHeader = "X-Order-Id"
@@ -113,8 +113,8 @@
 	if f.CloseAfterRead {
 		panic(http.ErrAbortHandler)
 	}
-	if id := r.Header.Get(idHeader); id != "" {
-		w.Header().Set(idHeader, id)
+	if id := r.Header.Get(exchangeHeader); id != "" {
+		w.Header().Set(exchangeHeader, id)
 	}
 	if f.FailRatio > 0 && rand.Float64() < f.FailRatio {
 		s.count(func(st *Stats) { st.Failed++ })
