--- /dev/null
+++ b/pkg/load/load_test.go
@@ -0,0 +1,171 @@
+package load_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"path"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lentilpin/pkg/load"
+	"lentilpin/pkg/load/payload"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const delay = 20 * time.Millisecond
+
+// entry plays an entry and the admin side of the backend servers. Orders are
+// answered as mode says, and run as often as runs says.
+type entry struct {
+	mode string
+	runs int
+	mu   sync.Mutex
+	ran  map[string]int
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/runs" {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]any{"runs": e.ran})
+		return
+	}
+	token := path.Base(r.URL.Path)
+	w.Header().Set("Lentilpin-Key", "key-"+token)
+	_, _ = io.Copy(io.Discard, r.Body)
+	time.Sleep(delay)
+	if r.Method == http.MethodGet {
+		_, _ = w.Write(payload.New(token, "b", 100))
+		return
+	}
+	e.mu.Lock()
+	if r.Header.Get("Idempotency-Key") == "" || r.Header.Get("X-Order-Id") != token {
+		panic("an order without its key or name")
+	}
+	if e.runs > 0 {
+		e.ran[token] += e.runs
+	}
+	e.mu.Unlock()
+	body := payload.New(token, "b", 100)
+	switch e.mode {
+	case "foreign":
+		body = payload.New("other", "b", 100)
+	case "damaged":
+		body[len(body)-1] ^= 1
+	case "cut":
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)+1))
+	case "replayed":
+		w.Header().Set("Idempotency-Replayed", "true")
+	case "not_run", "ran", "unknown":
+		w.Header().Set("Content-Type", "application/problem+json")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		body = fmt.Appendf(nil, `{"run": %q, "reason": "because"}`, e.mode)
+	}
+	_, _ = w.Write(body)
+}
+
+// Guards against requests that are counted twice or not at all, and against a
+// response of another caller, a damaged one, or a false statement about an
+// order that passes unnoticed.
+func TestRun(t *testing.T) {
+	tests := []struct {
+		mode   string
+		runs   int
+		count  func(c *load.Class) int64 // must be all orders
+		broken bool
+	}{
+		{"answered", 1, func(c *load.Class) int64 { return c.Answered }, false},
+		{"answered", 0, func(c *load.Class) int64 { return c.Answered }, true},
+		{"answered", 2, func(c *load.Class) int64 { return c.Answered }, true},
+		{"replayed", 1, func(c *load.Class) int64 { return c.Replayed }, false},
+		{"foreign", 1, func(c *load.Class) int64 { return c.Foreign }, true},
+		{"damaged", 1, func(c *load.Class) int64 { return c.Damaged }, true},
+		{"cut", 1, func(c *load.Class) int64 { return c.Unknown }, false},
+		{"not_run", 0, func(c *load.Class) int64 { return c.NotRun }, false},
+		{"not_run", 1, func(c *load.Class) int64 { return c.NotRun }, true},
+		{"ran", 0, func(c *load.Class) int64 { return c.Ran }, true},
+		{"unknown", 0, func(c *load.Class) int64 { return c.Unknown }, false},
+		{"unknown", 1, func(c *load.Class) int64 { return c.Unknown }, false},
+	}
+	for _, tc := range tests {
+		t.Run(fmt.Sprint(tc.mode, tc.runs), func(t *testing.T) {
+			server := httptest.NewServer(&entry{mode: tc.mode, runs: tc.runs, ran: map[string]int{}})
+			defer server.Close()
+			address := server.Listener.Addr().String()
+			o := load.Defaults()
+			o.Targets, o.Direct, o.Rate, o.Duration, o.Reads = []string{address}, []string{address}, 500, 300*time.Millisecond, 2
+			result, err := load.Run(context.Background(), o)
+			require.NoError(t, err)
+			require.NoError(t, result.Verify(context.Background(), address))
+			http.DefaultClient.CloseIdleConnections()
+			require.Equal(t, result.Scheduled, result.Reads.Sent+result.Direct.Sent+result.Orders.Sent+result.NotSent+result.NoKey)
+			require.Equal(t, result.Reads.Sent, result.Reads.Answered)
+			require.Positive(t, result.Direct.Answered)
+			require.Positive(t, result.Orders.Sent)
+			require.Equal(t, result.Orders.Sent, tc.count(&result.Orders))
+			require.Equal(t, tc.broken, result.Broken())
+			require.GreaterOrEqual(t, result.Reads.Latency.P50, float64(delay.Milliseconds()))
+			require.NotNil(t, result.Added)
+			var text bytes.Buffer
+			result.Print(&text)
+			require.Contains(t, text.String(), "added latency of reads")
+		})
+	}
+}
+
+// Guards against a run that does not end early when it is told to, and against
+// more requests at one time than allowed.
+func TestBounds(t *testing.T) {
+	server := httptest.NewServer(&entry{ran: map[string]int{}})
+	defer server.Close()
+	o := load.Defaults()
+	o.Targets, o.Rate, o.Inflight, o.Duration = []string{server.Listener.Addr().String()}, 5000, 2, time.Minute
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	result, err := load.Run(ctx, o)
+	require.NoError(t, err)
+	require.Positive(t, result.NotSent)
+	require.Less(t, result.DurationMS, time.Minute.Milliseconds())
+}
+
+// Guards against load on anything but this machine, and against a run without
+// a bound.
+func TestRefusedOptions(t *testing.T) {
+	for _, address := range []string{"192.0.2.1:80", "example.org:80", "localhost:80", "0.0.0.0:80", "[::]:80", "127.0.0.1", "[::ffff:192.0.2.1]:80", ""} {
+		require.Error(t, load.CheckLoopback(address), address)
+	}
+	for _, address := range []string{"127.0.0.1:80", "127.9.9.9:1", "[::1]:80", "[::ffff:127.0.0.1]:80"} {
+		require.NoError(t, load.CheckLoopback(address), address)
+	}
+	tests := []struct {
+		desc   string
+		change func(*load.Options)
+	}{
+		{"no target", func(o *load.Options) { o.Targets = nil }},
+		{"direct target elsewhere", func(o *load.Options) { o.Direct = []string{"192.0.2.1:80"} }},
+		{"rate", func(o *load.Options) { o.Rate = 1e6 }},
+		{"duration", func(o *load.Options) { o.Duration = time.Hour }},
+		{"requests", func(o *load.Options) { o.Rate, o.Duration = 50_000, 10*time.Minute }},
+		{"mix", func(o *load.Options) { o.Reads, o.Orders = 0, 0 }},
+		{"resend", func(o *load.Options) { o.Resend = 2 }},
+		{"inflight", func(o *load.Options) { o.Inflight = 0 }},
+		{"timeout", func(o *load.Options) { o.Timeout = 0 }},
+	}
+	for _, tc := range tests {
+		o := load.Defaults()
+		o.Targets = []string{"127.0.0.1:1"}
+		tc.change(&o)
+		_, err := load.Run(context.Background(), o)
+		require.Error(t, err, tc.desc)
+	}
+}
