--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -17,6 +17,11 @@
 const (
 	readBufferBytes  = 4096
 	writeBufferBytes = 4096
+
+	// A map keeps its size when it is cleared, so one with many fields is not
+	// kept for later requests.
+	typicalFields = 16
+	maxKeptFields = 64
 )
 
 // conn is one connection. Its embedded counters belong to the exchange in
@@ -130,6 +135,7 @@
 	url     url.URL
 	header  http.Header
 	body    requestBody
+	fields  int // that header has held, removed ones included
 	timeout [1]string
 	agent   [1]string
 
@@ -145,7 +151,7 @@
 	return &scratch{
 		reader: bufio.NewReaderSize(nil, readBufferBytes),
 		writer: bufio.NewWriterSize(nil, writeBufferBytes),
-		header: make(http.Header, 16),
+		header: make(http.Header, typicalFields),
 	}
 }}
 
@@ -161,6 +167,9 @@
 	s.reader.Reset(nil)
 	s.writer.Reset(nil)
 	clear(s.header)
+	if s.fields > maxKeptFields {
+		s.header = make(http.Header, typicalFields)
+	}
 	s.request = http.Request{}
 	s.url = url.URL{}
 	s.body.Reset(nil)
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -135,6 +135,7 @@
 
 // prepare fills in the request without changing r.
 func (s *scratch) prepare(ctx context.Context, address string, r *Request, names *fieldNames) error {
+	s.fields = len(r.Header)
 	for name, values := range r.Header {
 		s.header[name] = values
 	}
@@ -279,7 +280,7 @@
 	unsolicited := reader.Buffered() > 0
 	ended := !x.stop()
 	x.scratch.give()
-	if ended || unsolicited || c.retired.Load() {
+	if ended || unsolicited {
 		c.backend.drop(c, unsolicited)
 		return
 	}
--- a/pkg/transport/failure_test.go
+++ b/pkg/transport/failure_test.go
@@ -351,6 +351,31 @@
 	})
 }
 
+// Guards against a wait for a backend server that does not answer a connection
+// attempt, beyond dialMs (250) and beyond the deadline of the caller.
+func TestDialTimeouts(t *testing.T) {
+	for _, tc := range []struct {
+		deadline, want time.Duration
+		kind           transport.FailureKind
+	}{
+		{time.Second, 250 * time.Millisecond, transport.Dial},
+		{100 * time.Millisecond, 100 * time.Millisecond, transport.Timeout},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			p := transport.NewPool(transport.Options{Settings: settings(nil), Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}})
+			defer p.Close()
+			start := time.Now()
+			_, f := p.Do(timeout(t, tc.deadline), "a:1", get("/"))
+			require.Equal(t, tc.kind, f.Kind)
+			require.True(t, f.NotRun)
+			require.Equal(t, tc.want, time.Since(start))
+		})
+	}
+}
+
 // Guards against an exchange that waits for a connection longer than one may
 // take to establish.
 func TestNoFreeConnection(t *testing.T) {
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -355,7 +355,8 @@
 			other.outrun.Store(true)
 		}
 	}
-	if !reusable || b.closed || b.open > s.PerInstance() || now.Before(b.noReuseTill) || c.raw == nil {
+	if !reusable || b.closed || b.open > s.PerInstance() ||
+		now.Before(b.noReuseTill) || c.raw == nil || c.retired.Load() {
 		b.mu.Unlock()
 		b.drop(c, false)
 		return
--- a/pkg/transport/resend_test.go
+++ b/pkg/transport/resend_test.go
@@ -1,10 +1,10 @@
 package transport_test
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -37,25 +37,44 @@
 }
 
 // Documents the hazard that the package exists for: http.Transport sends an
-// order twice. If this fails, http.Transport has changed and the decision in
+// order twice, also one without a body when the means to rewind a body are taken
+// away. If this fails, http.Transport has changed and the decision in
 // docs/decisions/transport.md should be looked at again.
 func TestHTTPTransportResendsAnOrder(t *testing.T) {
-	s, orders := closesAfterSecond(t)
-	tr := &http.Transport{}
-	defer tr.CloseIdleConnections()
-	send := func(method string, body io.Reader) {
-		r, err := http.NewRequestWithContext(timeout(t, patience), method, "http://"+s.address()+"/tilaus/1", body)
-		require.NoError(t, err)
-		r.Header.Set("Idempotency-Key", "k1")
-		resp, err := tr.RoundTrip(r)
-		require.NoError(t, err)
-		_, err = io.Copy(io.Discard, resp.Body)
-		require.NoError(t, err)
-		require.NoError(t, resp.Body.Close())
+	tests := []struct {
+		desc   string
+		body   string
+		rewind bool
+		orders int32
+	}{
+		{"body that can be rewound", order, true, 2},
+		{"no body", "", false, 2},
+		{"body that cannot be rewound", order, false, 1},
+	}
+	for _, tc := range tests {
+		s, orders := closesAfterSecond(t)
+		tr := &http.Transport{}
+		send := func(method string, body io.Reader) error {
+			r, err := http.NewRequestWithContext(timeout(t, patience), method, "http://"+s.address()+"/tilaus/1", body)
+			require.NoError(t, err)
+			r.Header.Set("Idempotency-Key", "k1")
+			if !tc.rewind {
+				r.GetBody = nil
+			}
+			resp, err := tr.RoundTrip(r)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			return resp.Body.Close()
+		}
+		require.NoError(t, send(http.MethodGet, nil))
+		err := send(http.MethodPost, strings.NewReader(tc.body))
+		require.Equal(t, tc.orders == 1, err != nil, "%s: a resent order looks like success", tc.desc)
+		require.Equal(t, tc.orders, orders.Load(), tc.desc)
+		tr.CloseIdleConnections()
 	}
-	send(http.MethodGet, nil)
-	send(http.MethodPost, bytes.NewReader([]byte(order)))
-	require.EqualValues(t, 2, orders.Load())
 }
 
 // Guards against an order that is sent twice when a reused connection closes
