--- a/pkg/config/dynamic/diff.go
+++ b/pkg/config/dynamic/diff.go
@@ -64,17 +64,19 @@
 }
 
 func diffValues(region, service string, o, n *Resolved) []Difference {
+	// Every service has the same paths, because the built-in defaults state all.
 	var out []Difference
-	for _, path := range union(o.Values, n.Values) {
-		if o.Values[path] == n.Values[path] {
+	for path, value := range n.Values {
+		if o.Values[path] == value {
 			continue
 		}
 		out = append(out, Difference{
 			Kind: Changed, Region: region, Service: service, Path: path,
-			Old: o.Values[path], New: n.Values[path],
+			Old: o.Values[path], New: value,
 			OldOrigin: o.Origins[path], NewOrigin: n.Origins[path],
 		})
 	}
+	slices.SortFunc(out, func(a, b Difference) int { return strings.Compare(a.Path, b.Path) })
 	return out
 }
 
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -76,16 +76,24 @@
 		return nil, errors.Wrap(err, "parse built-in defaults")
 	}
 	problems := &schema.Error{}
+	// Each node is resolved once and its services start from the result, since
+	// resolving four levels for each service took half of the time of Parse.
+	fleet, err := (&Resolved{}).extend(BuiltIn, builtIn)
+	if err != nil {
+		return nil, errors.Wrap(err, "resolve built-in defaults")
+	}
+	if fleet, err = fleet.extend("fleet", doc.Fleet.Defaults); err != nil {
+		return nil, errors.Wrap(err, "fleet")
+	}
 	for regionName, region := range doc.Regions {
+		parent, err := fleet.extend("region/"+regionName, region.Defaults)
+		if err != nil {
+			return nil, errors.Wrap(err, "region/"+regionName)
+		}
 		t.services[regionName] = map[string]*Resolved{}
 		for serviceName, service := range region.Services {
 			node := fmt.Sprintf("region/%s/service/%s", regionName, serviceName)
-			r, err := resolve([]level{
-				{BuiltIn, builtIn},
-				{"fleet", doc.Fleet.Defaults},
-				{"region/" + regionName, region.Defaults},
-				{node, service},
-			})
+			r, err := parent.extend(node, service)
 			if err != nil {
 				return nil, errors.Wrap(err, node)
 			}
@@ -115,41 +123,33 @@
 	return slices.Sorted(maps.Keys(t.services))
 }
 
-type level struct {
-	origin string
-	values map[string]any
-}
-
-func resolve(levels []level) (*Resolved, error) {
-	merged := map[string]any{}
-	r := &Resolved{Origins: map[string]string{}, Values: map[string]string{}}
-	for _, l := range levels {
-		merge(merged, l.values, "", l.origin, r)
-	}
-	text, err := json.Marshal(merged)
+// extend returns a copy of r in which the values of a child node replace the
+// inherited ones, objects member by member.
+func (r *Resolved) extend(origin string, values map[string]any) (*Resolved, error) {
+	child := &Resolved{Service: r.Service, Origins: map[string]string{}, Values: map[string]string{}}
+	// Unmarshal reuses the array of a slice, which is the parent's.
+	child.Service.IdempotentMethods = slices.Clone(r.Service.IdempotentMethods)
+	maps.Copy(child.Origins, r.Origins)
+	maps.Copy(child.Values, r.Values)
+	child.record(values, "", origin)
+	text, err := json.Marshal(values)
 	if err != nil {
 		return nil, err
 	}
-	return r, json.Unmarshal(text, &r.Service)
+	return child, json.Unmarshal(text, &child.Service)
 }
 
-func merge(into, from map[string]any, prefix, origin string, r *Resolved) {
-	for name, value := range from {
+// record notes the origin and the text of each value.
+func (r *Resolved) record(values map[string]any, prefix, origin string) {
+	for name, value := range values {
 		path := prefix + name
-		object, ok := value.(map[string]any)
-		if !ok {
-			into[name] = value
-			text, _ := json.Marshal(value)
-			r.Origins[path] = origin
-			r.Values[path] = string(text)
+		if object, ok := value.(map[string]any); ok {
+			r.record(object, path+".", origin)
 			continue
 		}
-		child, ok := into[name].(map[string]any)
-		if !ok {
-			child = map[string]any{}
-			into[name] = child
-		}
-		merge(child, object, path+".", origin, r)
+		text, _ := json.Marshal(value)
+		r.Origins[path] = origin
+		r.Values[path] = string(text)
 	}
 }
 
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -11,12 +11,12 @@
 // Sizes of an exchange.
 const (
 	maxExchangeBytes = 64<<10 - 1024 // the limit of the call with room for its framing
-	minExchangeBytes = 512           // of a notice or a question; header and own record are about 200
+	smallBytes       = 1024          // of a notice or a question; header and own record are about 200
 	fieldBytes       = 4             // tag and length of one element
 )
 
 // Source is what the gateway shares with other entries. Ages are relative to
-// the moment of the call. Its methods must not call the Table.
+// the moment of the call. Its methods must not call the Table but for Notify.
 type Source interface {
 	Drains() []*peerpb.DrainMark
 	Quarantines() []*peerpb.Quarantine
@@ -85,11 +85,14 @@
 	own := t.ownRecord()
 	m := &peerpb.ExchangeRequest{Header: t.header(), Members: []*peerpb.Member{own}}
 	base := proto.Size(m)
-	allowance := t.budget.allowance(now) - base
-	if small {
-		allowance = min(allowance, minExchangeBytes-base)
-	}
-	if allowance > 0 {
+	allowance := t.budget.allowance(now, small) - base
+	switch {
+	case allowance <= 0:
+	case small:
+		allowance = min(allowance, smallBytes-base)
+		m.Drains = takeShare(s.drains, &t.cursor.drains, &allowance, 2)
+		m.Quarantines = take(s.quarantines, &t.cursor.quarantines, &allowance)
+	default:
 		m.Drains = takeShare(s.drains, &t.cursor.drains, &allowance, 4)
 		m.Quarantines = takeShare(s.quarantines, &t.cursor.quarantines, &allowance, 4)
 		m.Members = append(m.Members, t.freshMembers(now, &allowance)...)
@@ -134,11 +137,17 @@
 	last   time.Duration
 }
 
-func (b *budget) allowance(now time.Duration) int {
+// allowance returns the size of the next message. Half a second of the budget
+// is kept for notices, which carry what is urgent, so that the rotation of the
+// rest does not delay them.
+func (b *budget) allowance(now time.Duration, notice bool) int {
 	b.tokens = min(b.rate, b.tokens+(now-b.last).Seconds()*b.rate)
 	b.last = now
+	if notice {
+		return min(maxExchangeBytes, int(b.tokens))
+	}
 	// A round sends one message and answers about one, so that each gets half.
-	return min(maxExchangeBytes, int(b.tokens/2))
+	return min(maxExchangeBytes, int((b.tokens-b.rate/2)/2))
 }
 
 func (b *budget) spend(bytes int) { b.tokens = max(-b.rate, b.tokens-float64(bytes)) }
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -23,8 +23,9 @@
 	exchangeTimeout  = time.Second
 	treeTimeout      = 3 * time.Second
 	noticePeers      = 3
-	maxCalls         = 8 // calls under way that this instance started
-	maxFetches       = 2 // trees under way, for each of the two reasons to fetch
+	noticeGap        = 50 * time.Millisecond // between notices, so that a burst of changes shares one
+	maxCalls         = 8                     // calls under way that this instance started
+	maxFetches       = 2                     // trees under way, for each of the two reasons to fetch
 	// DefaultBytesPerSecond is sent by one instance in exchanges. As much is
 	// received, so that both stay below the 12 KB/s of control overhead.
 	DefaultBytesPerSecond = 4096
@@ -120,13 +121,17 @@
 	if t.self.Phase == peerpb.Phase_PHASE_UNSPECIFIED {
 		t.self.Phase = peerpb.Phase_PHASE_STARTING
 	}
-	o.Store.Subscribe(func(*dynamic.Tree) { t.notify() })
+	o.Store.Subscribe(func(*dynamic.Tree) { t.Notify() })
 	return t
 }
 
 func (t *Table) now() time.Duration { return t.o.Clock.Read().Mono }
 
-func (t *Table) notify() {
+// Notify sends what the Source has to three random peers at once instead of
+// waiting for the next round. The gateway calls it where a backend server
+// starts to drain or a request is quarantined, also where it learns of that
+// from a peer, so that it spreads in a logarithmic number of steps.
+func (t *Table) Notify() {
 	select {
 	case t.notices <- struct{}{}:
 	default:
@@ -174,7 +179,7 @@
 	change(t.self)
 	t.self.Counter++
 	t.mu.Unlock()
-	t.notify()
+	t.Notify()
 }
 
 // SetInstances replaces what the instance list says about other entries.
@@ -250,15 +255,17 @@
 	defer t.wg.Wait()
 	ticker := time.NewTicker(confirmRound)
 	defer ticker.Stop()
+	gap := time.NewTimer(noticeGap)
+	defer gap.Stop()
+	pending, noticed := false, -noticeGap
 	next := t.now() + time.Duration(t.pick(int(round)))
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.notices:
-			for _, address := range t.choose(noticePeers) {
-				t.start(ctx, address, true, exchangeTimeout)
-			}
+			pending = true
+		case <-gap.C:
 		case p := <-t.pulls:
 			t.wg.Go(func() { t.fetch(ctx, t.fetchCallers, p.address, p.version) })
 		case <-ticker.C:
@@ -273,6 +280,14 @@
 			}
 			t.confirmWithoutPeer()
 		}
+		if now := t.now(); pending && now-noticed >= noticeGap {
+			pending, noticed = false, now
+			for _, address := range t.choose(noticePeers) {
+				t.start(ctx, address, true, exchangeTimeout)
+			}
+		} else if pending {
+			gap.Reset(noticeGap - (now - noticed))
+		}
 	}
 }
 
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -15,8 +15,8 @@
 
 // Times of one call.
 const (
-	pollWait     = 25 * time.Second // the service replies after this where nothing changed
-	callDeadline = 30 * time.Second // for one call, its wait included
+	pollWait  = 25 * time.Second // the service replies after this where nothing changed
+	replyTime = 5 * time.Second  // for one call, in addition to its wait
 )
 
 // listMaxBytes bounds the instance list: 16,000 instances of about 200 bytes
@@ -149,7 +149,7 @@
 }
 
 func (c *Client) call(ctx context.Context, path string, after uint64, wait time.Duration, maxBytes int, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, callDeadline)
+	ctx, cancel := context.WithTimeout(ctx, wait+replyTime)
 	defer cancel()
 	url := fmt.Sprintf("%s%s?after=%d&waitMs=%d", c.base, path, after, wait.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/pkg/settings/store_test.go
+++ b/pkg/settings/store_test.go
@@ -104,3 +104,32 @@
 	require.True(t, ok)
 	require.Equal(t, 1, order)
 }
+
+// BenchmarkAdopt measures the adoption of a tree in which every service states
+// eight values and a fleet default changes: check, resolution, difference.
+func BenchmarkAdopt(b *testing.B) {
+	for _, services := range []int{8, 790} {
+		b.Run(fmt.Sprint(services), func(b *testing.B) {
+			s := settings.NewStore(events.Discard{}, clocktest.NewManual())
+			tree := func(version int) []byte {
+				out := fmt.Appendf(nil, `{"version":%d,"fleet":{"defaults":{"attemptTimeoutMs":%d}},"regions":{"r":{"services":{`, version, 1000+version)
+				for i := range services {
+					if i > 0 {
+						out = append(out, ',')
+					}
+					out = fmt.Appendf(out, `"service-%04d":{"timeoutMs":900,"slots":6,"queue":{"maxRequests":64,"maxWaitMs":50},`+
+						`"keys":{"lifetimeMs":600000,"claimMs":400},"measuring":{"messagesPerSecond":100,"bytesPerSecond":32768}}`, i)
+				}
+				return append(out, "}}}}"...)
+			}
+			version := 0
+			for b.Loop() {
+				version++
+				if r := s.Offer(tree(version), "service"); r != settings.Adopted {
+					b.Fatal(r)
+				}
+			}
+			b.ReportMetric(float64(len(tree(1))), "bytes/tree")
+		})
+	}
+}
