--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -65,6 +65,7 @@
 		Scope:           e.metrics.Scope,
 		OrdinalConflict: func() bool { return e.table.OrdinalConflict() },
 		Ready:           e.serving,
+		Notify:          func() { e.table.Notify() },
 	})
 	e.table = membership.New(membership.Options{
 		Self: &peerpb.Member{
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -118,6 +118,9 @@
 	c.g.background.Go(func() {
 		defer close(done)
 		c.svc.probe(context.Background(), server)
+		if c.svc.quarantine.Blocked(c.g.now(), c.print) {
+			c.svc.notify()
+		}
 	})
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,6 +61,10 @@
 	// detects that the process was paused, so it is asked for every request.
 	Ready func() (bool, string)
 
+	// Notify tells the peers at once of a backend server that starts to drain
+	// or of a request that was quarantined.
+	Notify func()
+
 	// dial replaces the connections to backend servers in tests.
 	dial func(ctx context.Context, address string) (net.Conn, error)
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -32,6 +32,7 @@
 	budgets    *measure.Budgets
 	prober     *measure.Prober
 
+	notify  func()
 	lastUse atomic.Int64 // time of the last attempt
 
 	limitsMu sync.Mutex
@@ -59,6 +60,7 @@
 		retries:    retry.NewBudget(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond),
 		hedgeDelay: retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		limits:     map[*routing.Server]*limit.Concurrency{},
+		notify:     g.o.Notify,
 		budgets:    budgets,
 		prober:     measure.NewProber(set, budgets, seed),
 		hedges:     scope.Counter("hedges"),
@@ -161,6 +163,9 @@
 		if change.Weight == 0 {
 			s.pool.Retire(change.Address)
 		}
+		if change.To == outlier.Draining {
+			s.notify()
+		}
 	}
 	s.queue.Wake()
 }
