--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -57,6 +57,9 @@
 	c.poll = func(fd uintptr) {
 		c.pollSet[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}
 		n, err := unix.Poll(c.pollSet[:], 0)
+		for err == unix.EINTR { // the runtime preempts with signals
+			n, err = unix.Poll(c.pollSet[:], 0)
+		}
 		c.readable = n != 0 || err != nil
 	}
 	return c
@@ -129,6 +132,8 @@
 	body    requestBody
 	timeout [1]string
 	agent   [1]string
+
+	exchange [1]string // value of ExchangeHeader
 }
 
 type requestBody struct{ bytes.Reader }
