--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -98,6 +98,9 @@
 		c.svc.quarantine.Broken(c.g.now(), c.print, a.server.Address())
 		c.verify(a.server)
 	}
+	if o == routing.Success || o == routing.ErrorResponse {
+		c.svc.quarantine.Ran(c.g.now(), c.print)
+	}
 	if a.fail != nil {
 		c.svc.noteDial(a.server, a.fail)
 	}
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -240,7 +240,7 @@
 	for _, s := range fresh {
 		s.window.reset()
 		if !slow || d.settings.SlowStartMS == 0 {
-			s.state, s.reason, s.since = Healthy, ReasonNew, now
+			s.state, s.reason, s.since = Healthy, "", now
 			continue
 		}
 		d.enter(now, s, SlowStart, ReasonNew)
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -9,25 +9,32 @@
 // was failing already and are not blamed for it.
 //
 // Blame on 2 different backend servers (setting quarantine.breaks, never less
-// than 2) within durationMs puts the fingerprint in quarantine for durationMs
-// (default 60 s). A backend server that fails on its own can therefore blame any
-// number of requests, but quarantine none. Any response to the same fingerprint
-// that proves that it ran removes the blame, because a request that crashes
-// servers gets none: this clears popular requests that were in progress on two
-// servers when a crashing one hit them.
+// than 2) within durationMs puts the fingerprint in quarantine. A backend server
+// that fails on its own can therefore blame any number of requests, but
+// quarantine none. Any response to the fingerprint removes the blame, because a
+// request that crashes servers gets none.
+//
+// Evidence on two servers cannot tell the crashing request from an innocent one
+// that was in progress beside it on the first server, was sent again like it, and
+// met it on the second. A first quarantine is therefore short, durationMs/12
+// (5 s by default), and a response from an attempt still in progress ends it.
+// After it the fingerprint is on probation for durationMs: one attempt at a time
+// is let through. A response ends the probation; a break for which the request is
+// to blame puts it in quarantine for the whole durationMs (60 s), followed by
+// probation again.
 //
 // State: local to this instance, except fingerprints in quarantine, which the
 // entries exchange with the remaining time. All tables are bounded: 4096 blamed
 // and 1024 quarantined fingerprints, 1024 incidents with 16 fingerprints each;
 // the oldest eighth gives way. Messages: peerpb.Quarantine through the gateway.
 //
-// Difference from the design page: Ran is additional (a response proves that the
-// request ran), and Configure.
+// Difference from the design page: the first quarantine and probation as above;
+// Ran (a response proves that the request ran), Configure and Text are
+// additional.
 //
-// Limits: each instance needs evidence on two servers of its own; only the
-// verdict is exchanged. An innocent request that was broken together with the
-// crashing one on two servers, with no response in between, is quarantined with
-// it.
+// Limits: each instance needs evidence on two servers of its own or a peer's
+// word; blames are not exchanged. Several entries may each grant a trial before
+// they hear that another's failed.
 //
 // Tests: state machine against the promise that evidence on two servers is
 // needed; table of incidents.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -22,7 +22,14 @@
 	maxOnset       = 16                     // fingerprints kept per incident; an entry has 6 connections to a server by default
 	maxIncidents   = 1024
 	maxBlamed      = 4096
+	maxAddresses   = 8 // named for operators
 	maxQuarantined = 1024
+
+	// firstShare is the part of the duration that a first quarantine lasts: 5 s
+	// of 60 s. Its evidence cannot tell the crashing request from one that was
+	// in progress beside it on both servers.
+	firstShare = 12
+	minFirst   = time.Second
 )
 
 // Sources of an entry.
@@ -39,10 +46,14 @@
 	Addresses   []string // backend servers on which it was blamed; empty if a peer reported it
 }
 
+// quarantined is a fingerprint that is refused until a time and on probation for
+// the duration after it: one attempt at a time is let through as a trial.
 type quarantined struct {
-	until     time.Duration
-	source    string
-	addresses []string
+	until      time.Duration
+	trialUntil time.Duration // end of the trial that is under way
+	first      bool          // no trial has failed yet
+	source     string
+	addresses  []string
 }
 
 type incident struct {
@@ -67,6 +78,7 @@
 
 	mu        sync.RWMutex
 	settings  dynamic.Quarantine
+	trial     time.Duration // longest wait for the result of a trial
 	held      map[uint64]quarantined
 	blamed    map[uint64][]blame
 	incidents map[string]*incident
@@ -83,7 +95,7 @@
 // New returns an empty list.
 func New(settings *dynamic.Service, rec events.Recorder) *List {
 	return &List{
-		rec: rec, settings: settings.Quarantine,
+		rec: rec, settings: settings.Quarantine, trial: dynamic.MS(settings.AttemptTimeoutMS),
 		held: map[uint64]quarantined{}, blamed: map[uint64][]blame{}, incidents: map[string]*incident{},
 	}
 }
@@ -92,7 +104,7 @@
 func (l *List) Configure(settings *dynamic.Service) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.settings = settings.Quarantine
+	l.settings, l.trial = settings.Quarantine, dynamic.MS(settings.AttemptTimeoutMS)
 }
 
 // Fingerprint identifies a request. The parts are separated so that no two
@@ -112,15 +124,36 @@
 // Text is the form of a fingerprint in events and answers to operators.
 func Text(fp uint64) string { return fmt.Sprintf("%016x", fp) }
 
-// Blocked reports whether requests with this fingerprint are refused.
+// Blocked reports whether requests with this fingerprint are refused. On
+// probation it returns false once and begins a trial with that; it returns true
+// until the trial has ended or the attempt timeout has passed.
 func (l *List) Blocked(now time.Duration, fp uint64) bool {
 	if l.active.Load() == 0 {
 		return false
 	}
 	l.mu.RLock()
-	defer l.mu.RUnlock()
 	q, ok := l.held[fp]
-	return ok && now < q.until
+	l.mu.RUnlock()
+	if !ok || now < q.until {
+		return ok
+	}
+	return l.tried(now, fp)
+}
+
+// tried begins a trial unless one is under way.
+func (l *List) tried(now time.Duration, fp uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q, ok := l.held[fp]
+	switch {
+	case !ok || now >= q.until+dynamic.MS(l.settings.DurationMS):
+		return false
+	case now < q.until || now < q.trialUntil:
+		return true
+	}
+	q.trialUntil = now + l.trial
+	l.held[fp] = q
+	return false
 }
 
 // Broken counts an attempt that ended with a broken connection after at least
@@ -151,17 +184,28 @@
 	l.settle(now, address, in)
 }
 
-// Ran counts a response that proves that a request ran without crashing the
-// backend server; it removes the blame of the fingerprint. A quarantine that
-// runs stays: the response may belong to an attempt that began before it.
-func (l *List) Ran(fp uint64) {
-	if l.blames.Load() == 0 {
+// Ran counts a response, which proves that a request ran without crashing the
+// backend server. It removes the blame of the fingerprint and ends its
+// quarantine, unless a trial has failed before and the quarantine is in force:
+// the response may then belong to an attempt that began earlier.
+func (l *List) Ran(now time.Duration, fp uint64) {
+	if l.blames.Load() == 0 && l.active.Load() == 0 {
+		return
+	}
+	l.mu.RLock()
+	_, blamed := l.blamed[fp]
+	_, held := l.held[fp]
+	l.mu.RUnlock()
+	if !blamed && !held {
 		return
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
+	defer l.unlock()
 	delete(l.blamed, fp)
 	l.blames.Store(int32(len(l.blamed)))
+	if q, ok := l.held[fp]; ok && (q.first || now >= q.until) {
+		l.release(fp, "ran")
+	}
 }
 
 // Merge takes a quarantine that a peer reported. It lasts no longer than one
@@ -173,23 +217,26 @@
 	if until <= now || until <= l.held[fp].until {
 		return
 	}
-	if q, ok := l.held[fp]; ok && now < q.until {
+	if q, ok := l.held[fp]; ok {
 		q.until = until
 		l.held[fp] = q
 		return
 	}
-	l.hold(now, fp, quarantined{until: until, source: SourcePeer})
+	l.hold(now, fp, quarantined{until: until, first: true, source: SourcePeer})
 	l.note(eventMerged, events.F("fingerprint", Text(fp)), events.F("for_ms", (until-now).Milliseconds()))
 }
 
-// Active returns the quarantines in force in the order of fingerprints and
-// forgets the ones that are over. It is called at least once a second.
+// Active returns the fingerprints that are refused, in order, and forgets those
+// whose probation is over. It is called at least once a second.
 func (l *List) Active(now time.Duration) []Entry {
 	l.mu.Lock()
 	defer l.unlock()
 	l.expire(now)
 	out := make([]Entry, 0, len(l.held))
 	for fp, q := range l.held {
+		if now >= q.until {
+			continue // on probation, which is the matter of each instance
+		}
 		out = append(out, Entry{Fingerprint: fp, Remaining: q.until - now, Source: q.source, Addresses: q.addresses})
 	}
 	slices.SortFunc(out, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -237,6 +284,10 @@
 }
 
 func (l *List) blame(now time.Duration, fp uint64, address string) {
+	if q, ok := l.held[fp]; ok && now < q.until+dynamic.MS(l.settings.DurationMS) {
+		l.blameAgain(now, fp, address, q)
+		return
+	}
 	oldest := now - dynamic.MS(l.settings.DurationMS)
 	blames := slices.DeleteFunc(l.blamed[fp], func(b blame) bool { return b.address == address || b.at <= oldest })
 	blames = append(blames, blame{address, now})
@@ -253,10 +304,26 @@
 		addresses[i] = b.address
 	}
 	duration := dynamic.MS(l.settings.DurationMS)
-	l.hold(now, fp, quarantined{until: now + duration, source: SourceOwn, addresses: addresses})
+	duration = min(duration, max(minFirst, duration/firstShare))
+	l.hold(now, fp, quarantined{until: now + duration, first: true, source: SourceOwn, addresses: addresses})
 	l.note(eventQuarantined, events.F("fingerprint", Text(fp)), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
 }
 
+// blameAgain puts a fingerprint whose trial failed back for the whole duration.
+// Breaks while it is refused come from attempts that began before.
+func (l *List) blameAgain(now time.Duration, fp uint64, address string, q quarantined) {
+	if now < q.until {
+		return
+	}
+	duration := dynamic.MS(l.settings.DurationMS)
+	q.until, q.trialUntil, q.first, q.source = now+duration, 0, false, SourceOwn
+	if !slices.Contains(q.addresses, address) && len(q.addresses) < maxAddresses {
+		q.addresses = append(slices.Clone(q.addresses), address)
+	}
+	l.held[fp] = q
+	l.note(eventAgain, events.F("fingerprint", Text(fp)), events.F("for_ms", duration.Milliseconds()), events.F("addresses", q.addresses))
+}
+
 func (l *List) hold(now time.Duration, fp uint64, q quarantined) {
 	if len(l.held) >= maxQuarantined {
 		l.expire(now)
@@ -287,10 +354,14 @@
 
 func (l *List) expire(now time.Duration) {
 	for fp, q := range l.held {
-		if now >= q.until {
-			delete(l.held, fp)
-			l.note(eventReleased, events.F("fingerprint", Text(fp)))
+		if now >= q.until+dynamic.MS(l.settings.DurationMS) {
+			l.release(fp, "time")
 		}
 	}
+}
+
+func (l *List) release(fp uint64, reason string) {
+	delete(l.held, fp)
 	l.active.Store(int32(len(l.held)))
+	l.note(eventReleased, events.F("fingerprint", Text(fp)), events.F("reason", reason))
 }
