--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -187,7 +187,7 @@
 }
 
 func (e *entry) sendHedge(r *request) {
-	if r.done || r.pending == 0 || len(r.attempts) >= e.bench.settings.Retry.MaxAttempts || !e.retries.Take(e.bench.loop.now) {
+	if r.done || r.pending == 0 || len(r.attempts) >= e.bench.settings.Retry.MaxAttempts || !e.retries.TakeHedge(e.bench.loop.now) {
 		return
 	}
 	if e.dispatch(r) {
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -60,7 +60,7 @@
 // hedge starts a second attempt only where a server has capacity now: a hedge
 // that waits in the queue would delay the results of the first attempt.
 func (rd *reader) hedge() {
-	if !rd.mayRetry() {
+	if rd.started >= rd.settings.Retry.MaxAttempts || rd.ctx.Err() != nil || !rd.svc.retries.TakeHedge(rd.g.now()) {
 		return
 	}
 	if server := rd.svc.set.Pick(rd.g.now(), rd.tried); server != nil {
