--- a/pkg/routing/lentilpin/lentilpin.go
+++ b/pkg/routing/lentilpin/lentilpin.go
@@ -30,7 +30,7 @@
 // Options are the settings of the policy.
 type Options struct {
 	// Choices is the number of candidates in the own failure domain, default 3.
-	// One less is drawn from the other failure domains, at least one.
+	// Those from the other failure domains make it 2*Choices-1 in all.
 	Choices int
 	// CrossDomainPenalty is the price of leaving the failure domain. The delay
 	// of the network is part of the measured latency and need not be in it.
@@ -59,11 +59,14 @@
 			best, lowest = s, cost
 		}
 	}
-	for range min(p.options.Choices, l.Local()) {
-		consider(l.Draw(r, 0, l.Local(), exclude))
+	// Draws that a small own failure domain leaves over go to the others.
+	near := min(p.options.Choices, l.Local())
+	far := min(2*p.options.Choices-1-near, l.Len()-l.Local())
+	for i := range near {
+		consider(candidate(l, r, 0, l.Local(), i, near, exclude))
 	}
-	for range min(max(1, p.options.Choices-1), l.Len()-l.Local()) {
-		consider(l.Draw(r, l.Local(), l.Len(), exclude))
+	for i := range far {
+		consider(candidate(l, r, l.Local(), l.Len(), i, far, exclude))
 	}
 	if best != nil && (best.Local() || l.Local() == 0) {
 		best.Predict(now, p.wait(now, best, 1, p.slots(now, best)))
@@ -71,6 +74,15 @@
 	return best
 }
 
+// candidate returns candidate i of n from the indexes [from, to): each one in
+// turn where there are no more than n, else a random one.
+func candidate(l *server.List, r *rand.Rand, from, to, i, n int, exclude []*server.Server) *server.Server {
+	if n < to-from {
+		return l.Draw(r, from, to, exclude)
+	}
+	return l.Draw(r, from+i, from+i+1, exclude)
+}
+
 // cost is the expected latency of an attempt in nanoseconds.
 func (p *Policy) cost(now time.Duration, s *server.Server, trust float64) float64 {
 	slots := p.slots(now, s)
