--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -127,6 +127,20 @@
 	require.NoError(f.t, f.entries[i].cmd.Process.Signal(s))
 }
 
+// freeze stops a process and waits until the kernel has stopped it: a signal is
+// delivered some time after it was sent, and until then requests are served.
+func (f *fleet) freeze(i int) {
+	f.signal(i, syscall.SIGSTOP)
+	require.Eventually(f.t, func() bool {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", f.entries[i].cmd.Process.Pid))
+		if err != nil {
+			return false
+		}
+		_, after, _ := strings.Cut(string(stat), ") ")
+		return strings.HasPrefix(after, "T")
+	}, patience, time.Millisecond)
+}
+
 func (f *fleet) exitCode(i int) int {
 	select {
 	case <-f.entries[i].exited:
@@ -204,7 +218,7 @@
 func TestFrozenEntryWakesLate(t *testing.T) {
 	f := newFleet(t, 2)
 	key := f.key(1)
-	f.signal(0, syscall.SIGSTOP)
+	f.freeze(0)
 	type answer struct {
 		got
 		err error
@@ -236,7 +250,7 @@
 func TestFrozenOwner(t *testing.T) {
 	f := newFleet(t, 2)
 	key := f.key(0)
-	f.signal(0, syscall.SIGSTOP)
+	f.freeze(0)
 	g, err := f.do(http.MethodPost, 1, ":7000/shop/orders/x", key, nil)
 	require.NoError(t, err)
 	require.Equal(t, "unknown", g.run, g.body)
