--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -64,13 +64,15 @@
 // called exactly once after that.
 func (c *call) send(ctx context.Context, server *routing.Server, timeout time.Duration) *attempt {
 	a := &attempt{server: server, start: time.Now()}
-	ctx, a.cancel = context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
+	a.cancel = func() { cancel(nil) }
 	if timeout > 0 {
 		// The timeout covers the wait for the header only: a long body may
-		// take until the deadline of the request.
+		// take until the deadline of the request. The cause lets the pool
+		// retire the idle connections, which may be silent too.
 		timer := time.AfterFunc(timeout, func() {
 			a.expired.Store(true)
-			a.cancel()
+			cancel(context.DeadlineExceeded)
 		})
 		defer timer.Stop()
 	}
