--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -25,7 +26,9 @@
 	c.Listen = "127.0.0.1:0"
 	s, err := backend.Start(c)
 	require.NoError(t, err)
-	client := &http.Client{Transport: &http.Transport{}}
+	// http.Transport takes late bytes on a reused connection for the response
+	// to its next request.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	t.Cleanup(func() {
 		client.CloseIdleConnections()
 		s.Close()
@@ -149,6 +152,21 @@
 		runs += tc.runs
 		require.Equal(t, runs, s.Runs()["o"], tc.desc)
 	}
+	s.SetFaults(backend.Faults{LateBytes: true})
+	c, err := net.Dial("tcp", s.Address())
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET /varasto/1 HTTP/1.1\r\nHost: a\r\nX-Request-Token: t1\r\n\r\n")
+	require.NoError(t, err)
+	reader := bufio.NewReader(c)
+	for _, token := range []string{"t1", "late"} {
+		resp, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		_, err = payload.Check(body, token)
+		require.NoError(t, err)
+	}
 	s.SetFaults(backend.Faults{Drain: true, Health: 200, Load: &backend.Load{Inflight: 77}})
 	resp, body, err := send(t, client, http.MethodGet, base+"/health", nil)
 	require.NoError(t, err)
@@ -161,7 +179,14 @@
 // Guards against a crash that leaves connections open, does not refuse new
 // ones, or never ends, and against silence that ends a connection.
 func TestCrashAndSilence(t *testing.T) {
+	refusing, _ := start(t, backend.Config{ServiceTime: "const:0"})
+	refusing.SetFaults(backend.Faults{RefuseMS: 60_000})
+	refusing.Crash()
+	_, err := net.Dial("tcp", refusing.Address())
+	require.Error(t, err)
+
 	s, client := start(t, backend.Config{ServiceTime: "const:0"})
+	client.Transport = &http.Transport{}
 	base := "http://" + s.Address()
 	s.SetFaults(backend.Faults{CrashOn: "poison", RefuseMS: 50})
 	other, err := net.Dial("tcp", s.Address())
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -55,7 +55,7 @@
 	s := &Server{
 		config: c, service: d, start: time.Now(), address: l.Addr().String(),
 		slots: slots{total: c.Slots, maxQueue: c.Queue},
-		conns: map[*conn]struct{}{}, runs: map[string]int{}, wake: make(chan struct{}),
+		conns: map[*conn]struct{}{}, runs: map[string]int{}, wake: make(chan struct{}), listener: l,
 	}
 	s.faults.Store(&Faults{})
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerReadTime}
@@ -142,14 +142,6 @@
 func (s *Server) run(l net.Listener) {
 	defer s.done.Done()
 	for l != nil {
-		s.mu.Lock()
-		s.listener = l
-		closed := s.closed
-		s.mu.Unlock()
-		if closed {
-			_ = l.Close()
-			return
-		}
 		_ = s.server.Serve(&listener{Listener: l, server: s})
 		l = s.relisten()
 	}
@@ -168,6 +160,13 @@
 		case <-time.After(pause):
 		}
 		if l, err := listenLoopback(s.address); err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.closed {
+				_ = l.Close()
+				return nil
+			}
+			s.listener = l
 			return l
 		}
 		pause = relistenPeriod
