--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -12,8 +12,8 @@
 // # State
 //
 // Pool holds one backend per address; a backend holds its idle connections
-// (the most recently used one is taken first), the connections in an exchange
-// and the callers that wait for one. The number of connections, those being
+// (the most recently used one that has rested for restTime is taken first), the
+// connections in an exchange and the callers that wait for one. The number of connections, those being
 // established included, never exceeds Service.PerInstance. Buffers and request
 // state belong to a connection only during an exchange, so an idle connection
 // costs a socket and a small struct.
--- a/pkg/transport/failure_test.go
+++ b/pkg/transport/failure_test.go
@@ -196,6 +196,7 @@
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err, "the whole response had arrived")
 	require.Equal(t, "ok", string(body))
+	rest()
 	_, _, err = fetch(timeout(t, patience), p, s.address(), get("/"))
 	require.NoError(t, err)
 	require.Equal(t, 2, s.connections())
@@ -208,6 +209,7 @@
 	s := once(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true)
 	p := newPool(t, nil, transport.Options{})
 	for range 2 {
+		rest()
 		resp, f := p.Do(timeout(t, patience), s.address(), get("/"))
 		require.Nil(t, f)
 		require.NoError(t, resp.Body.Close())
--- a/pkg/transport/helper_test.go
+++ b/pkg/transport/helper_test.go
@@ -25,6 +25,9 @@
 // patience ends a test that hangs. No assertion depends on it.
 const patience = 20 * time.Second
 
+// rest lets idle connections rest, so that the next exchange uses one.
+func rest() { time.Sleep(2 * time.Millisecond) }
+
 // settings returns the defaults with a change.
 func settings(change func(*dynamic.Service)) func() *dynamic.Service {
 	tree, err := dynamic.Parse([]byte(`{"version": 1, "fleet": {"defaults": {}},
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -22,9 +23,15 @@
 	// as unknown.
 	freshIdle = time.Second
 
+	// restTime is how long a connection is left alone before it is reused
+	// while another one can be made. A backend server that answers twice
+	// mostly does so at once; the second response then meets the check before
+	// reuse and not the next request.
+	restTime = time.Millisecond
+
 	// unsolicitedHold is how long connections to a backend server are not
 	// reused after it sent bytes that belong to no request.
-	unsolicitedHold = 10 * time.Second
+	unsolicitedHold = time.Minute
 
 	// sweepsPerPeriod bounds how late an idle or silent connection is retired:
 	// a quarter of the shorter of the two times.
@@ -175,13 +182,11 @@
 	// b.mu is held on entry. A place freed by a dropped connection is kept, so
 	// that the sweep does not forget the backend server meanwhile.
 	place := false
-	for len(b.idle) > 0 {
-		c := b.idle[len(b.idle)-1]
-		if !idempotent && time.Since(c.idleAt) >= freshIdle {
+	for {
+		c := b.takeIdle(idempotent, place || b.open < s.PerInstance())
+		if c == nil {
 			break
 		}
-		b.idle = b.idle[:len(b.idle)-1]
-		b.active[c] = struct{}{}
 		b.mu.Unlock()
 		if c.quiet() {
 			if place {
@@ -210,7 +215,7 @@
 	if b.open >= s.PerInstance() && len(b.idle) > 0 {
 		// Every idle connection is too old for this request.
 		oldest := b.idle[0]
-		b.idle = append(b.idle[:0], b.idle[1:]...)
+		b.idle = slices.Delete(b.idle, 0, 1)
 		b.open--
 		_ = oldest.Conn.Close()
 	}
@@ -225,6 +230,34 @@
 	return b.wait(ctx, s, w)
 }
 
+// takeIdle makes the most recently used idle connection that has rested active
+// and returns it. If no other connection can be made, the one that has rested
+// longest will do. b.mu is held.
+func (b *backend) takeIdle(idempotent, canConnect bool) *conn {
+	now := time.Now()
+	longest := -1
+	for i := len(b.idle) - 1; i >= 0; i-- {
+		age := now.Sub(b.idle[i].idleAt)
+		if !idempotent && age >= freshIdle {
+			break
+		}
+		longest = i
+		if age >= restTime {
+			break
+		}
+		if canConnect {
+			longest = -1
+		}
+	}
+	if longest < 0 {
+		return nil
+	}
+	c := b.idle[longest]
+	b.idle = slices.Delete(b.idle, longest, longest+1)
+	b.active[c] = struct{}{}
+	return c
+}
+
 // wait waits for a connection that another exchange gives back, or for its
 // place, no longer than establishing one may take.
 func (b *backend) wait(ctx context.Context, s *dynamic.Service, w chan *conn) (*conn, error) {
@@ -240,12 +273,10 @@
 		err = ErrConnectionLimit
 	}
 	b.mu.Lock()
-	for i, other := range b.waiters {
-		if other == w {
-			b.waiters = append(b.waiters[:i], b.waiters[i+1:]...)
-			b.mu.Unlock()
-			return nil, err
-		}
+	if i := slices.Index(b.waiters, w); i >= 0 {
+		b.waiters = slices.Delete(b.waiters, i, i+1)
+		b.mu.Unlock()
+		return nil, err
 	}
 	b.mu.Unlock()
 	if c, ok := <-w; ok {
@@ -314,7 +345,7 @@
 
 func (b *backend) nextWaiter() chan *conn {
 	w := b.waiters[0]
-	b.waiters = append(b.waiters[:0], b.waiters[1:]...)
+	b.waiters = slices.Delete(b.waiters, 0, 1)
 	return w
 }
 
@@ -382,7 +413,7 @@
 		_ = b.idle[n].Conn.Close()
 		n++
 	}
-	b.idle = append(b.idle[:0], b.idle[n:]...)
+	b.idle = slices.Delete(b.idle, 0, n)
 	b.open -= n
 	for c := range b.active {
 		since := c.waitingSince.Load()
--- a/pkg/transport/property_test.go
+++ b/pkg/transport/property_test.go
@@ -108,6 +108,7 @@
 			}
 		}
 		for range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			rest()
 			var wg sync.WaitGroup
 			for range rapid.IntRange(1, 4).Draw(t, "at the same time") {
 				sent++
--- a/pkg/transport/resend_test.go
+++ b/pkg/transport/resend_test.go
@@ -84,6 +84,7 @@
 	p := newPool(t, nil, transport.Options{})
 	_, _, err := fetch(timeout(t, patience), p, s.address(), get("/tilaus/1"))
 	require.NoError(t, err)
+	rest()
 	r := post("/tilaus/1", []byte(order))
 	r.Header = http.Header{"Idempotency-Key": {"k1"}}
 	_, f := p.Do(timeout(t, patience), s.address(), r)
--- a/pkg/transport/response_test.go
+++ b/pkg/transport/response_test.go
@@ -132,6 +132,7 @@
 			s := once(t, tc.raw, true)
 			p := newPool(t, nil, transport.Options{})
 			for range 2 {
+				rest()
 				r := get("/")
 				if tc.method != "" {
 					r.Method = tc.method
