--- a/pkg/load/load_test.go
+++ b/pkg/load/load_test.go
@@ -128,14 +128,16 @@
 func TestBounds(t *testing.T) {
 	server := httptest.NewServer(&entry{ran: map[string]int{}})
 	defer server.Close()
-	o := load.Defaults()
-	o.Targets, o.Rate, o.Inflight, o.Duration = []string{server.Listener.Addr().String()}, 5000, 2, time.Minute
-	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-	defer cancel()
-	result, err := load.Run(ctx, o)
-	require.NoError(t, err)
-	require.Positive(t, result.NotSent)
-	require.Less(t, result.DurationMS, time.Minute.Milliseconds())
+	for _, rate := range []float64{5000, 0.1} {
+		o := load.Defaults()
+		o.Targets, o.Rate, o.Inflight, o.Duration = []string{server.Listener.Addr().String()}, rate, 2, time.Minute
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		result, err := load.Run(ctx, o)
+		cancel()
+		require.NoError(t, err)
+		require.Equal(t, rate > 1, result.NotSent > 0)
+		require.Less(t, result.DurationMS, time.Minute.Milliseconds()/2)
+	}
 }
 
 // Guards against load on anything but this machine, and against a run without
--- a/standin/backend/backend_test.go
+++ b/standin/backend/backend_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -192,22 +193,32 @@
 	other, err := net.Dial("tcp", s.Address())
 	require.NoError(t, err)
 	defer other.Close()
-	for s.Stats().Connections == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	_, err = io.WriteString(other, "GET /health HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	_, err = http.ReadResponse(bufio.NewReader(other), nil)
+	require.NoError(t, err)
 	_, _, err = send(t, client, http.MethodGet, base+"/varasto/poison", nil)
 	require.Error(t, err)
+	require.NoError(t, other.SetReadDeadline(time.Now().Add(20*time.Second)))
 	_, err = other.Read(make([]byte, 1))
 	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 	require.EqualValues(t, 1, s.Stats().Crashes)
 	for err != nil {
 		time.Sleep(10 * time.Millisecond)
 		_, _, err = send(t, client, http.MethodGet, base+"/varasto/1", nil)
 	}
 
-	s.Silence()
-	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	s.SetFaults(backend.Faults{SlowAddMS: 100})
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
+	before := s.Stats().Requests
+	go func() { // while the request runs
+		for s.Stats().Requests == before {
+			time.Sleep(time.Millisecond)
+		}
+		s.Silence()
+	}()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"/varasto/1", nil)
 	require.NoError(t, err)
 	_, err = client.Do(r)
