--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
+	"time"
 
 	"lentilpin/standin/backend"
 )
@@ -41,3 +44,47 @@
 	c := newCluster(b, 1, backend.Config{ServiceTime: "const:0"})
 	benchmarkGet(b, c.callers(0))
 }
+
+// BenchmarkDrain measures the time from the first response with the drain
+// signal to the last new request at the leaving backend server, over six
+// entries that are all under load. Each iteration is one backend server.
+func BenchmarkDrain(b *testing.B) {
+	const entries, callers = 6, 4
+	var total, worst time.Duration
+	for b.Loop() {
+		b.StopTimer()
+		c := newCluster(b, entries, fast(), fast(), fast(), fast(), fast(), fast())
+		ctx, cancel := context.WithCancel(b.Context())
+		var wg sync.WaitGroup
+		for i := range entries * callers {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					c.get(c.callers(i%entries), "/shop/items/1")
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		leaving := c.backends[0]
+		b.StartTimer()
+		leaving.SetFaults(backend.Faults{Drain: true})
+		signal := time.Now()
+		last, seen := signal, leaving.Stats().Requests
+		for time.Since(last) < 2*time.Second {
+			if n := leaving.Stats().Requests; n != seen {
+				last, seen = time.Now(), n
+			}
+			time.Sleep(200 * time.Microsecond)
+		}
+		cancel()
+		wg.Wait()
+		took := last.Sub(signal)
+		total, worst = total+took, max(worst, took)
+		b.StopTimer()
+		for i := range c.entries {
+			c.shutdown(i)
+		}
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(total.Microseconds())/1000/float64(b.N), "ms/drain")
+	b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
+}
