--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -117,6 +117,14 @@
 	kept     map[string]*server // outside the list
 	scratch  []judged
 	values   []float64
+	pending  []pendingEvent
+}
+
+// pendingEvent waits for the mutex to be free: a log stream that blocks must not
+// hold up Drain, which responses call.
+type pendingEvent struct {
+	event  *events.Event
+	fields []events.Field
 }
 
 type judged struct {
@@ -150,7 +158,7 @@
 // Update takes the list of backend servers. Sweep returns the resulting changes.
 func (d *Detector) Update(now time.Duration, addresses []string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	old := *d.servers.Load()
 	list := make(map[string]*server, len(addresses))
 	var added []*server
@@ -258,7 +266,7 @@
 // now.
 func (d *Detector) Merge(now, seen time.Duration, address, source string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	seen = min(seen, now)
 	if seen+dynamic.MS(d.settings.DrainHoldMS) <= now {
 		return
@@ -287,7 +295,7 @@
 // Health takes the result of a health check of an ejected backend server.
 func (d *Detector) Health(now time.Duration, address string, ok bool) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	s := (*d.servers.Load())[address]
 	if s == nil || s.state != Ejected || ok {
 		return
@@ -348,6 +356,21 @@
 	return info, true
 }
 
+// note records an event once the mutex is free.
+func (d *Detector) note(e *events.Event, fields ...events.Field) {
+	d.pending = append(d.pending, pendingEvent{e, fields})
+}
+
+// unlock frees the mutex and records what note has gathered.
+func (d *Detector) unlock() {
+	pending := d.pending
+	d.pending = nil
+	d.mu.Unlock()
+	for _, p := range pending {
+		d.rec.Record(p.event, p.fields...)
+	}
+}
+
 func (d *Detector) isDraining(now time.Duration, s *server) bool {
 	return s.drained && now < s.drain.Seen+dynamic.MS(d.settings.DrainHoldMS)
 }
@@ -391,26 +414,26 @@
 	address, why := events.F("address", s.address), events.F("reason", reason)
 	switch to {
 	case Draining:
-		d.rec.Record(eventDraining, address, events.F("source", s.drain.Source))
+		d.note(eventDraining, address, events.F("source", s.drain.Source))
 	case Ejected:
 		length := min(dynamic.MS(d.settings.EjectMS)<<min(s.ejections, 16), dynamic.MS(d.settings.MaxEjectMS))
 		s.until, s.forgiven = now+length, now
 		s.ejections++
 		sum := s.window.sum(now)
-		d.rec.Record(eventEjected, address, why, events.F("for_ms", length.Milliseconds()),
+		d.note(eventEjected, address, why, events.F("for_ms", length.Milliseconds()),
 			events.F("attempts", sum.attempts), events.F("errors", sum.errors), events.F("latency_ms", sum.mean().Milliseconds()))
 	case SlowStart:
 		s.until = now + dynamic.MS(d.settings.SlowStartMS)
 		switch from {
 		case Draining:
-			d.rec.Record(eventDrained, address, why)
+			d.note(eventDrained, address, why)
 		case Ejected:
-			d.rec.Record(eventReadmitted, address, why)
+			d.note(eventReadmitted, address, why)
 		case Healthy, SlowStart:
-			d.rec.Record(eventNew, address, why)
+			d.note(eventNew, address, why)
 		}
 	case Healthy:
-		d.rec.Record(eventHealthy, address, why)
+		d.note(eventHealthy, address, why)
 	}
 }
 
@@ -435,7 +458,7 @@
 // and Update; the caller applies the weights.
 func (d *Detector) Sweep(now time.Duration) []Change {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	for _, s := range d.order {
 		d.advance(now, s)
 	}
@@ -496,7 +519,7 @@
 			d.enter(now, j.s, Ejected, j.why)
 		} else if !j.s.blocked {
 			j.s.blocked = true
-			d.rec.Record(eventNotEjected, events.F("address", j.s.address), events.F("reason", j.why), events.F("ejected", ejected))
+			d.note(eventNotEjected, events.F("address", j.s.address), events.F("reason", j.why), events.F("ejected", ejected))
 		}
 	}
 }
--- a/pkg/outlier/outlier_test.go
+++ b/pkg/outlier/outlier_test.go
@@ -32,9 +32,19 @@
 	return out
 }
 
-type recorder struct{ names []string }
+// recorder asks the detector while it records: an event under the detector's
+// mutex would let a slow log stream hold up responses, and blocks here for good.
+type recorder struct {
+	names []string
+	d     *outlier.Detector
+}
 
-func (r *recorder) Record(e *events.Event, _ ...events.Field) { r.names = append(r.names, e.Name) }
+func (r *recorder) Record(e *events.Event, _ ...events.Field) {
+	r.names = append(r.names, e.Name)
+	if r.d != nil {
+		r.d.Drains(0)
+	}
+}
 
 // fixture drives a detector as the gateway does and knows the weights applied.
 type fixture struct {
@@ -48,6 +58,7 @@
 func newFixture(s *dynamic.Service, n int) *fixture {
 	f := &fixture{now: time.Minute, weights: map[string]float64{}}
 	f.Detector = outlier.New(s, &f.rec)
+	f.rec.d = f.Detector
 	f.update(addresses(n))
 	return f
 }
