--- a/pkg/measure/budget.go
+++ b/pkg/measure/budget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
 	"lentilpin/pkg/routing"
 )
 
@@ -98,6 +99,10 @@
 	All, CrossDomain *Budget
 	mu               sync.Mutex
 	suspended        bool
+	refused          uint64 // probes that were wanted and not granted
+	reported         uint64 // refused at the last judgement of Report
+	judged           time.Duration
+	exhausted        bool
 }
 
 // NewBudgets returns the shares of an instance.
@@ -129,11 +134,38 @@
 func (b *Budgets) Take(now time.Duration, s *routing.Server, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.suspended || !b.All.Ready(now) {
+	if b.suspended || !b.All.Ready(now) || !s.Local() && !b.CrossDomain.Take(now, bytes) || !b.All.Take(now, bytes) {
+		b.refused++
 		return false
 	}
-	if !s.Local() && !b.CrossDomain.Take(now, bytes) {
-		return false
+	return true
+}
+
+// Report records an event when the budget has begun or ceased to refuse probes.
+// It judges once in a Window, because between two messages of the share a wanted
+// probe waits in any case; the gateway calls it about once a second.
+func (b *Budgets) Report(now time.Duration, rec events.Recorder, service string) {
+	b.mu.Lock()
+	if now-b.judged < Window {
+		b.mu.Unlock()
+		return
 	}
-	return b.All.Take(now, bytes)
+	count := b.refused - b.reported
+	b.judged, b.reported = now, b.refused
+	changed := (count > 0) != b.exhausted
+	b.exhausted = count > 0
+	b.mu.Unlock()
+	switch {
+	case changed && count > 0:
+		rec.Record(eventExhausted, events.F("service", service), events.F("refused", count))
+	case changed:
+		rec.Record(eventRecovered, events.F("service", service))
+	}
+}
+
+// Refused returns the probes that were wanted and not granted since the start.
+func (b *Budgets) Refused() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refused
 }
--- a/pkg/measure/budget_test.go
+++ b/pkg/measure/budget_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
 	"lentilpin/pkg/measure"
 	"lentilpin/pkg/routing"
 )
@@ -211,6 +212,27 @@
 	require.False(t, none.Take(time.Hour, local, 300), "ordinal at the ceiling")
 }
 
+// Guards against a budget that refuses probes without a trace, and against one
+// event for each refusal.
+func TestExhaustionIsReportedOnce(t *testing.T) {
+	s := service(t, `{"instanceCeiling": 1, "measuring": {"messagesPerSecond": 1}}`)
+	local := newSet(t, s).Server("a1")
+	b, rec := measure.NewBudgets(0, s, 0), &recorder{}
+	for now := time.Duration(0); now <= 60*time.Second; now += 500 * time.Millisecond {
+		if now < 30*time.Second {
+			b.Take(now, local, 300)
+		}
+		b.Report(now, rec, "s")
+	}
+	require.Equal(t, []int{4200, 4201}, rec.numbers)
+}
+
+type recorder struct{ numbers []int }
+
+func (r *recorder) Record(e *events.Event, _ ...events.Field) {
+	r.numbers = append(r.numbers, e.Number)
+}
+
 // Guards against probes where a report is fresh, a second probe while one is
 // on its way, and probes to ejected or remote backend servers before local ones.
 func TestProberPrefersStaleAndLocal(t *testing.T) {
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -58,14 +58,13 @@
 	weight   atomic.Uint64 // float64 bits
 	place    atomic.Pointer[place]
 
-	reportMu  sync.Mutex // serialises writers of the fields below
-	inSlots   atomic.Int32
-	queued    atomic.Int32
-	slots     atomic.Int32
-	reported  atomic.Int64 // report latency
-	reportAt  atomic.Int64 // time of the report plus one; 0: none
-	sentSince atomic.Int32 // attempts begun since the report
-	probedAt  atomic.Int64 // time of the last probe plus one
+	reportMu sync.Mutex // serialises writers of the fields below
+	inSlots  atomic.Int32
+	queued   atomic.Int32
+	slots    atomic.Int32
+	reported atomic.Int64 // report latency
+	reportAt atomic.Int64 // time of the report plus one; 0: none
+	probedAt atomic.Int64 // time of the last probe plus one
 
 	endMu      sync.Mutex // serialises End's estimates
 	endAt      atomic.Int64
@@ -140,7 +139,6 @@
 		s.mark()
 		return false
 	}
-	s.sentSince.Add(1)
 	s.picks.Add(1)
 	if n == limit {
 		s.mark()
@@ -274,7 +272,6 @@
 	s.queued.Store(r.Queued)
 	s.slots.Store(r.Slots)
 	s.reported.Store(int64(r.Latency))
-	s.sentSince.Store(0)
 	s.reportAt.Store(at)
 	s.reportMu.Unlock()
 	s.shared.observeLoad(float64(r.Load()))
@@ -290,10 +287,6 @@
 	return r, max(0, now-time.Duration(at-1)), true
 }
 
-// SentSince returns the attempts begun since the last report that are not
-// known to have ended.
-func (s *Server) SentSince() int32 { return min(s.sentSince.Load(), s.inflight.Load()) }
-
 // Probing notes that a probe was sent.
 func (s *Server) Probing(now time.Duration) { s.probedAt.Store(int64(now) + 1) }
 
