--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -21,18 +21,21 @@
 	Guards   bool // ejection, slow start, adaptive limits and quarantine
 	Hedge    bool
 	Baseline bool // counts as a baseline in the summary
+	Blind    bool // does not know the failure domains
 }
 
 // Variants returns the product as the gateway runs it (lentilpin), its
-// ablations, Prequal with the same surroundings, and the baselines, which are
-// routing alone.
+// ablations, the two strongest baselines with the same surroundings, and the
+// baselines, which are routing alone.
 func Variants() []Variant {
 	list := []Variant{
-		{"lentilpin", "lentilpin", true, true, false},
-		{"lentilpin-nohedge", "lentilpin", true, false, false},
-		{"lentilpin-routingonly", "lentilpin", false, false, false},
-		{"prequal", "prequal", false, false, true},
-		{"prequal-hedged", "prequal", true, true, false},
+		{Name: "lentilpin", Policy: "lentilpin", Guards: true, Hedge: true},
+		{Name: "lentilpin-nohedge", Policy: "lentilpin", Guards: true},
+		{Name: "lentilpin-routingonly", Policy: "lentilpin"},
+		{Name: "lentilpin-nodomains", Policy: "lentilpin", Guards: true, Hedge: true, Blind: true},
+		{Name: "prequal", Policy: "prequal", Baseline: true},
+		{Name: "prequal-hedged", Policy: "prequal", Guards: true, Hedge: true},
+		{Name: "leastoutstanding-hedged", Policy: "leastoutstanding", Guards: true, Hedge: true},
 	}
 	for _, name := range []string{"random", "roundrobin", "leastoutstanding", "p2c", "p2creported"} {
 		list = append(list, Variant{Name: name, Policy: name, Baseline: true})
@@ -140,7 +143,7 @@
 		if err != nil {
 			return err
 		}
-		e.update(all[:backends-b.scenario.Cold])
+		e.update(b.seenBy(e, all[:backends-b.scenario.Cold]))
 		b.entries = append(b.entries, e)
 		b.loop.every(time.Duration(i)*time.Millisecond, 5*time.Millisecond, b.scenario.Length, e.probe)
 		b.loop.every(time.Duration(i)*5*time.Millisecond, 100*time.Millisecond, b.scenario.Length, e.sweep)
@@ -151,6 +154,18 @@
 	return nil
 }
 
+// seenBy returns the backend servers as an entry lists them.
+func (b *bench) seenBy(e *entry, list []routing.Backend) []routing.Backend {
+	if !b.variant.Blind {
+		return list
+	}
+	blind := make([]routing.Backend, len(list))
+	for i, x := range list {
+		blind[i] = routing.Backend{Address: x.Address, FailureDomain: domainName(e.domain)}
+	}
+	return blind
+}
+
 func (b *bench) fault(all []routing.Backend) {
 	for i := range b.scenario.FailFast {
 		b.backends[7*i+1].failing = true
@@ -160,7 +175,7 @@
 	}
 	if b.scenario.Cold > 0 {
 		for _, e := range b.entries {
-			e.update(all)
+			e.update(b.seenBy(e, all))
 		}
 	}
 }
--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -101,6 +101,8 @@
 	e.sweep()
 }
 
+func (e *entry) crosses(b *backend) bool { return e.domain != b.domain }
+
 func (e *entry) sweep() {
 	if !e.bench.variant.Guards {
 		return
@@ -169,7 +171,7 @@
 	a := &attempt{request: r, server: s, backend: b.byAddress[s.Address()], sent: now}
 	r.attempts, r.servers = append(r.attempts, a), append(r.servers, s)
 	r.pending++
-	if !s.Local() {
+	if e.crosses(a.backend) {
 		b.result.CrossDomainRequests++
 	}
 	b.loop.after(b.network.delay(now, e.domain, a.backend.domain), func() { a.backend.arrive(a) })
@@ -260,7 +262,7 @@
 func (e *entry) verify(a *attempt) {
 	b := e.bench
 	a.request.broken++
-	b.result.count(1, measure.ProbeBytes, !a.server.Local())
+	b.result.count(1, measure.ProbeBytes, e.crosses(a.backend))
 	there := b.network.delay(b.loop.now, e.domain, a.backend.domain)
 	b.loop.after(there, func() {
 		down := b.loop.now < a.backend.downTo
@@ -341,8 +343,8 @@
 		if !ok {
 			return
 		}
-		b.result.count(1, measure.ProbeBytes, !s.Local())
 		target := b.byAddress[s.Address()]
+		b.result.count(1, measure.ProbeBytes, e.crosses(target))
 		b.loop.after(b.network.delay(b.loop.now, e.domain, target.domain), func() {
 			if b.loop.now < target.downTo {
 				return
--- a/pkg/bench/output.go
+++ b/pkg/bench/output.go
@@ -166,11 +166,12 @@
 			c.product.p99(), c.best99.p99(), verdict(c.met99()), c.product.p999(), c.best999.p999(), verdict(c.met999()), errs, c.probeShare)
 	}
 	fmt.Fprintln(w, "errors: lentilpin/best baseline by p99.9; a failed request counts as 2 s")
-	hedged := map[string]bool{"prequal-hedged": true}
+	hedged := map[string]bool{"prequal-hedged": true, "leastoutstanding-hedged": true}
 	writeCount(w, compare(groups, "lentilpin", baselines), "lentilpin against the best baseline")
 	writeCount(w, compare(groups, "lentilpin-nohedge", baselines), "lentilpin without hedges against the best baseline")
 	writeCount(w, compare(groups, "lentilpin-routingonly", baselines), "routing alone against the best baseline")
-	writeCount(w, compare(groups, "lentilpin", hedged), "lentilpin against prequal-hedged")
+	writeCount(w, compare(groups, "lentilpin", hedged), "lentilpin against prequal-hedged and leastoutstanding-hedged")
+	writeCount(w, compare(groups, "lentilpin-nodomains", baselines), "lentilpin without failure domains against the best baseline")
 }
 
 func writeCount(w io.Writer, list []comparison, what string) {
