--- a/pkg/ledger/claimant.go
+++ b/pkg/ledger/claimant.go
@@ -19,9 +19,9 @@
 	Claim(ctx context.Context, address string, in *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error)
 	Settle(ctx context.Context, address string, in *peerpb.SettleRequest) (*peerpb.SettleResponse, error)
 	Handover(ctx context.Context, address string, in *peerpb.HandoverRequest) (*peerpb.HandoverResponse, error)
-	// Successor returns the peer address of the instance that took over the
-	// ledger of an incarnation, empty if none is known. A wrong answer costs
-	// an unknown result, never a second run.
+	// Successor returns the peer address of the instance that holds the ledger
+	// of an incarnation now, after all handovers, empty if none is known. A
+	// wrong answer costs an unknown result, never a second run.
 	Successor(address string, incarnation uint64) string
 }
 
@@ -179,8 +179,8 @@
 	peerpb.ClaimState_CLAIM_STATE_LEDGER_FULL:          StateFull,
 }
 
-// maxHops bounds the instances that one claim is sent to: the owner, its
-// successor, and the successor's successor.
+// maxHops bounds the instances that one claim is sent to: the owner, and two
+// successors if a handover happens meanwhile.
 const maxHops = 3
 
 // send claims at the owner or, if that no longer grants, at its successor. The
--- a/pkg/ledger/handover.go
+++ b/pkg/ledger/handover.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -303,7 +302,7 @@
 	for s, wire := range wireStates {
 		if wire == m.GetState() && len(m.GetFingerprint()) == 32 {
 			return record{
-				fingerprint: [32]byte(m.GetFingerprint()), requestID: strings.Clone(m.GetRequestId()),
+				fingerprint: [32]byte(m.GetFingerprint()), requestID: m.GetRequestId(),
 				expires: m.GetExpiresMs(), grant: m.GetGrant(), state: s,
 			}, true
 		}
--- a/pkg/ledger/owner.go
+++ b/pkg/ledger/owner.go
@@ -147,7 +147,9 @@
 	}
 	o.grant++
 	id := req.GetRequestId()
-	id = strings.Clone(id[:min(len(id), maxRequestID)])
+	if len(id) > maxRequestID {
+		id = strings.Clone(id[:maxRequestID])
+	}
 	l.add(k.sequence, record{
 		fingerprint: fp, requestID: id, expires: k.expires,
 		grant: o.grant, openUntil: l.watermark + uint64(req.GetGrantMs()),
--- a/pkg/ledger/world_test.go
+++ b/pkg/ledger/world_test.go
@@ -215,6 +215,10 @@
 		run = peerpb.Run_RUN_NOT_RUN
 	}
 	h.settled = true
+	if run == peerpb.Run_RUN_NOT_RUN { // the claimant states it to its caller
+		require.Zero(w.t, w.runs[h.key], "not run was stated after a run")
+		w.saidNotRun[h.key] = true
+	}
 	answer := &peerpb.Answer{Status: 201, Body: []byte(h.key[len(h.key)-16:] + h.content), Whole: true}
 	return h.node.claimant.Settle(context.Background(), &h.Claim, run, answer)
 }
