--- a/pkg/config/dynamic/diff_test.go
+++ b/pkg/config/dynamic/diff_test.go
@@ -44,3 +44,12 @@
 	require.NoError(t, err)
 	return tree
 }
+
+// Guards against a service whose list is overwritten by a sibling, because
+// both start from the resolved settings of their region.
+func TestSiblingsShareNoList(t *testing.T) {
+	tree := parse(t, `{"version":1,"regions":{"r":{"defaults":{"idempotentMethods":["GET","PUT","HEAD"]},`+
+		`"services":{"a":{"idempotentMethods":["DELETE"]},"b":{},"c":{"idempotentMethods":["OPTIONS"]}}}}}`)
+	require.Equal(t, []string{"GET", "PUT", "HEAD"}, tree.Lookup("r", "b").Service.IdempotentMethods)
+	require.Equal(t, []string{"DELETE"}, tree.Lookup("r", "a").Service.IdempotentMethods)
+}
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -44,6 +44,8 @@
 	exchanges int
 	trees     int
 	withheld  bool // Tree calls fail
+	listLate  bool // the list names nobody yet
+	reports   int  // load reports that each node shares
 }
 
 // node is one incarnation of an entry. While paused its clock stands still and
@@ -134,7 +136,7 @@
 		Ordinal: uint32(in.Ordinal), StartedUnixMs: time.Now().UnixMilli(),
 	}}
 	close(n.gate)
-	n.marks = &marks{since: map[string]time.Time{}, notify: func() { n.table.Notify() }}
+	n.marks = &marks{reports: f.reports, since: map[string]time.Time{}, notify: func() { n.table.Notify() }}
 	n.store = settings.NewStore(events.Discard{}, n)
 	seeds := []string{f.list[0].Address, f.list[1].Address, f.list[2].Address}
 	n.table = membership.New(membership.Options{
@@ -224,12 +226,13 @@
 	return func(n *node) bool { return n.store.Version() == version }
 }
 
-// marks is the Source of a node: drain marks that are held for 30 s, and the
-// load reports of 42 backend servers.
+// marks is the Source of a node: drain marks that are held for 30 s, and load
+// reports.
 type marks struct {
-	mu     sync.Mutex
-	since  map[string]time.Time
-	notify func()
+	reports int
+	notify  func()
+	mu      sync.Mutex
+	since   map[string]time.Time
 }
 
 func (s *marks) Drains() (out []*peerpb.DrainMark) {
@@ -246,7 +249,7 @@
 func (s *marks) Quarantines() []*peerpb.Quarantine { return nil }
 
 func (s *marks) Reports() (out []*peerpb.LoadReport) {
-	for i := range 42 {
+	for i := range s.reports {
 		out = append(out, &peerpb.LoadReport{
 			Service: "varasto", Address: fmt.Sprintf("10.1.0.%d:8080", i), Inflight: 4, Queued: 1, LatencyMs: 7.5, Slots: 6, AgeMs: 50,
 		})
@@ -456,6 +459,9 @@
 func (n *node) WatchInstances(ctx context.Context, after uint64) (revision uint64, list []platform.Instance, err error) {
 	err = n.watch(ctx, 25*time.Second, func() bool {
 		revision, list = n.f.revision, n.f.list
+		if n.f.listLate {
+			list = nil
+		}
 		return revision > after
 	})
 	return revision, list, err
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"lentilpin/pkg/membership"
 )
 
 // sizes are measured by TestSpread; 19,76,300 takes minutes.
@@ -46,7 +48,7 @@
 			f := newFleet(rapid.Uint64().Draw(rt, "seed"), 19, rapid.IntRange(3, 4).Draw(rt, "domains"))
 			f.bootAll()
 			defer f.stopAll()
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Second)
 			node := func() *node {
 				return f.all()[rapid.IntRange(0, 18).Draw(rt, "node")]
 			}
@@ -120,6 +122,7 @@
 		{"one cut off", 1, func(f *fleet, on bool) { f.cutGroup(1, on) }},
 		{"two cut off together", 2, func(f *fleet, on bool) { f.cutGroup(2, on) }},
 		{"trees withheld", 2, func(f *fleet, on bool) { f.withheld = on }},
+		{"trees withheld and list late", 2, func(f *fleet, on bool) { f.withheld, f.listLate = on, on }},
 	}
 	for _, tc := range tests {
 		t.Run(tc.desc, func(t *testing.T) {
@@ -184,6 +187,47 @@
 	})
 }
 
+// Guards against an instance without peers that never serves again although
+// the service or the operators' onUnconfirmed allow it, or that serves too
+// early.
+func TestWithoutPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 19, 3)
+		f.bootAll()
+		defer f.stopAll()
+		f.within(t, 30*time.Second, ready)
+		f.set(func() { f.cutGroup(1, true) })
+		n := f.nodes[f.list[0].Address]
+		f.publish() // so that a watch has just begun
+		time.Sleep(2 * time.Second)
+		n.pause()
+		time.Sleep(2 * time.Second)
+		n.resume()
+		f.within(t, 6*time.Second, ready)
+		require.Equal(t, "service", n.store.State().By)
+
+		f.kill(n)
+		n = f.boot(0, "serve")
+		time.Sleep(4 * time.Second)
+		require.False(t, ready(n))
+		time.Sleep(2 * time.Second)
+		ok, reason := n.runner.Ready()
+		require.True(t, ok)
+		require.Equal(t, membership.ReasonUnconfirmed, reason)
+	})
+}
+
+// Guards against instances that find each other by the list alone.
+func TestSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 19, 3)
+		f.listLate = true
+		f.bootAll()
+		defer f.stopAll()
+		f.within(t, 10*time.Second, func(n *node) bool { return len(n.table.Members()) == 19 })
+	})
+}
+
 // Guards against a change or a drain mark that does not reach everyone within 5 s of virtual
 // time from one instance, the service being down, and against a live instance
 // that is forgotten. Logs what the exchange costs.
@@ -197,6 +241,7 @@
 				domains = 6
 			}
 			f := newFleet(1, size, domains)
+			f.reports = 42 // backend servers of Hiilikuutio
 			f.bootAll()
 			defer f.stopAll()
 			start := f.within(t, time.Minute, ready)
@@ -225,6 +270,9 @@
 			f.all()[0].marks.drain("10.1.0.7:8080", 0)
 			drained := f.within(t, 5*time.Second, func(n *node) bool { return n.marks.has("10.1.0.7:8080") })
 			_, _, trees := f.take()
+			if size == 19 {
+				require.Less(t, spread[5], 500*ms, "notices must not wait for a round")
+			}
 			n := float64(size)
 			t.Logf("%d instances: ready after %v; spread of a tree median %v, longest %v, of a drain mark %v; %.1f tree fetches per instance and change; "+
 				"%.1f exchanges/s and %.0f bytes/s sent per instance (as much received)",
--- a/pkg/membership/records_test.go
+++ b/pkg/membership/records_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"lentilpin/pkg/clock/clocktest"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/settings"
@@ -157,6 +158,23 @@
 	require.False(t, a.OrdinalConflict())
 }
 
+// Guards against a peer whose small message fills the memory, or whose damaged
+// tree is taken.
+func TestUnpackIsBounded(t *testing.T) {
+	var p packedTree
+	large := p.of(&dynamic.Tree{Text: make([]byte, 2000)})
+	require.Less(t, len(large), 100)
+	_, err := unpack(large, 1999)
+	require.ErrorIs(t, err, errTreeTooLarge)
+	text, err := unpack(large, 2000)
+	require.NoError(t, err)
+	require.Len(t, text, 2000)
+	for _, damaged := range [][]byte{nil, large[:len(large)-1], []byte("{}")} {
+		_, err = unpack(damaged, 2000)
+		require.Error(t, err)
+	}
+}
+
 // crowd is a Source with more than fits into one exchange.
 type crowd struct{ drains, quarantines, reports int }
 
@@ -196,9 +214,9 @@
 			a.merge(0, []*peerpb.Member{newTable(c, i+2, uint64(i+2), 1, nil).self})
 		}
 		seen := map[string]int{}
-		total, rounds := 0, 40
+		total, rounds := 0, 400
 		for i := range rounds {
-			c.Advance(round)
+			c.Advance(round / 8) // more often than a round, as when many peers call
 			for _, r := range a.records {
 				r.heard = a.now()
 			}
@@ -208,7 +226,7 @@
 			size := proto.Size(out)
 			require.LessOrEqual(t, size, maxExchangeBytes)
 			total += size
-			require.LessOrEqual(t, float64(total), rate*(float64(i+2)*round.Seconds())+smallBytes)
+			require.LessOrEqual(t, float64(total), rate*(1+float64(i+1)*round.Seconds()/8)+smallBytes)
 			for _, d := range out.Drains {
 				seen[d.Address]++
 			}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -29,6 +29,9 @@
 	// DefaultBytesPerSecond is sent by one instance in exchanges. As much is
 	// received, so that both stay below the 12 KB/s of control overhead.
 	DefaultBytesPerSecond = 4096
+	// DefaultMaxTreeBytes is the largest value that the configuration service
+	// holds.
+	DefaultMaxTreeBytes = 1 << 20
 )
 
 // Client calls a peer. The context carries the deadline.
@@ -50,6 +53,7 @@
 	Source         Source   // nil: nothing to share
 	Seed           uint64   // of random choices; 0: random
 	BytesPerSecond float64  // default DefaultBytesPerSecond
+	MaxTreeBytes   int      // default DefaultMaxTreeBytes; a larger tree of a peer is refused
 }
 
 // reply is the last reply of a peer.
@@ -89,6 +93,7 @@
 	failures  map[string]int           // failed calls in a row
 	unusable  []byte                   // digest of a peer's tree that was refused
 	confirmAt uint64                   // epoch in which calls for confirmation started
+	packed    packedTree
 }
 
 // pull asks Run to fetch the tree of a peer.
@@ -102,6 +107,9 @@
 	if o.BytesPerSecond == 0 {
 		o.BytesPerSecond = DefaultBytesPerSecond
 	}
+	if o.MaxTreeBytes == 0 {
+		o.MaxTreeBytes = DefaultMaxTreeBytes
+	}
 	if o.Seed == 0 {
 		o.Seed = rand.Uint64()
 	}
@@ -245,7 +253,9 @@
 func (t *Table) HandleTree(in *peerpb.TreeRequest) *peerpb.TreeResponse {
 	out := &peerpb.TreeResponse{Header: t.header()}
 	if tree := t.o.Store.Current(); tree != nil && tree.Version >= in.MinVersion {
-		out.Tree = tree.Text
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		out.Tree = t.packed.of(tree)
 	}
 	return out
 }
@@ -376,11 +386,15 @@
 	ctx, cancel := context.WithTimeout(ctx, treeTimeout)
 	defer cancel()
 	out, err := t.o.Client.Tree(ctx, address, &peerpb.TreeRequest{Header: t.header(), MinVersion: version})
-	if err != nil || len(out.Tree) == 0 {
-		t.o.Recorder.Record(eventTreeFetch, events.F("address", address), events.F("version", version), events.F("error", err))
+	var text []byte
+	if err == nil {
+		text, err = unpack(out.Tree, t.o.MaxTreeBytes)
+	}
+	if err != nil {
+		t.o.Recorder.Record(eventTreeFetch, events.F("address", address), events.F("version", version), events.F("error", err.Error()))
 		return
 	}
-	if t.o.Store.Offer(out.Tree, "peer "+address) == settings.Invalid {
+	if t.o.Store.Offer(text, "peer "+address) == settings.Invalid {
 		t.mu.Lock()
 		t.unusable = out.GetHeader().GetDigest()
 		t.mu.Unlock()
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -34,7 +35,8 @@
 
 // Guards against a client that misreads the service over a real connection:
 // bytes that differ from the published ones, a hidden failure, an oversized
-// value that is taken, a list that does not arrive.
+// value that is taken because its compressed form is small, a list that does
+// not arrive.
 func TestClientReadsTheStandIn(t *testing.T) {
 	s := standin.New(0)
 	server := httptest.NewServer(s.Reader())
@@ -61,14 +63,15 @@
 	require.ErrorIs(t, err, platform.ErrUnchanged)
 	require.Equal(t, []string{"platform_unreachable", "platform_reachable"}, rec.names)
 
-	require.NoError(t, s.Publish([]byte(`{"version": 8, "fleet": {"defaults": {"x": "`+strings.Repeat("x", 300)+`"}}}`)))
+	require.NoError(t, s.Publish([]byte(`{"version": 8, "fleet": {"defaults": {"x": "`+strings.Repeat("x", 3000)+`"}}}`)))
 	_, _, err = c.ReadTree(ctx, 7)
 	require.ErrorIs(t, err, platform.ErrTooLarge)
 
-	s.SetInstances([]standin.Instance{{Name: "entry-1", Kind: "entry", Address: "127.0.0.1:1", State: "live"}})
+	s.SetInstances(slices.Repeat([]standin.Instance{{Name: "entry-1", Kind: "entry", Address: "127.0.0.1:1", State: "live"}}, 50))
 	_, list, err := c.WatchInstances(ctx, 0)
 	require.NoError(t, err)
-	require.Equal(t, platform.KindEntry, list[0].Kind)
+	require.Len(t, list, 50)
+	require.Equal(t, platform.KindEntry, list[49].Kind)
 }
 
 // Guards against a stand-in that lets one of two racing operators overwrite
--- a/pkg/platform/pacer_test.go
+++ b/pkg/platform/pacer_test.go
@@ -141,22 +141,24 @@
 // Guards against a client that calls more often than once per second on
 // average with a burst of two, whatever the service replies.
 func TestPacerBoundsCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newSeededPacer(seeded(1))
-		random := rand.New(rand.NewPCG(1, 1))
-		start := time.Now()
-		for calls := 1; calls <= 500; calls++ {
-			require.NoError(t, p.wait(t.Context()))
-			require.LessOrEqual(t, calls, int(time.Since(start).Seconds()*callsPerSecond)+callBurst)
-			switch random.IntN(3) {
-			case 0:
-				p.changed()
-			case 1:
-				p.unchanged()
-			case 2:
-				p.fail()
-				require.Less(t, p.pause, backoffMax)
+	for desc, replies := range map[string]int{"at once and nothing new": 1, "mixed": 3} {
+		synctest.Test(t, func(t *testing.T) {
+			p := newSeededPacer(seeded(1))
+			random := rand.New(rand.NewPCG(1, 1))
+			start := time.Now()
+			for calls := 1; calls <= 500; calls++ {
+				require.NoError(t, p.wait(t.Context()))
+				require.LessOrEqual(t, calls, int(time.Since(start).Seconds()*callsPerSecond)+callBurst, desc)
+				switch random.IntN(replies) {
+				case 0:
+					p.unchanged()
+				case 1:
+					p.changed()
+				case 2:
+					p.fail()
+					require.Less(t, p.pause, backoffMax)
+				}
 			}
-		}
-	})
+		})
+	}
 }
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
 )
 
 // CallsPerSecond is the limit over all readers.
@@ -164,6 +165,7 @@
 // Reader returns the handler of the read side.
 func (s *Server) Reader() http.Handler {
 	e := newEcho()
+	e.Use(middleware.GzipWithConfig(middleware.GzipConfig{MinLength: 1024}))
 	e.GET("/v1/config/tree", func(c echo.Context) error {
 		return s.read(c, &s.counters.TreeReads, func(after uint64) []byte {
 			t := s.newest(s.faults.FrozenAt)
