--- a/pkg/config/dynamic/bench_test.go
+++ b/pkg/config/dynamic/bench_test.go
@@ -24,7 +24,7 @@
 }
 
 // BenchmarkParse gives the slopes of docs/CAPACITY.md: one adoption by the
-// number of services, with the size of the tree and of what it takes in memory.
+// number of services where one of them changes, with the size of the tree and of what it takes in memory.
 func BenchmarkParse(b *testing.B) {
 	for _, services := range []int{80, 240, 790} {
 		text := sizedTree(services)
@@ -42,8 +42,10 @@
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			changed := bytes.Replace(text, []byte(`"timeoutMs":500`), []byte(`"timeoutMs":499`), 1)
 			for b.Loop() {
-				if _, err := dynamic.Parse(text); err != nil {
+				next, err := dynamic.ParseAfter(tree, changed)
+				if err != nil || len(dynamic.Diff(tree, next)) != 1 {
 					b.Fatal(err)
 				}
 			}
--- a/pkg/config/dynamic/diff.go
+++ b/pkg/config/dynamic/diff.go
@@ -65,7 +65,7 @@
 }
 
 func diffValues(region, service string, o, n *Resolved) []Difference {
-	if reflect.DeepEqual(o.Service, n.Service) {
+	if o == n || reflect.DeepEqual(o.Service, n.Service) {
 		return nil
 	}
 	var out []Difference
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -1,6 +1,7 @@
 package dynamic
 
 import (
+	"bytes"
 	"crypto/sha256"
 	_ "embed"
 	"encoding/json"
@@ -66,7 +67,11 @@
 
 // Parse checks the text of a tree and resolves every service. The error is a
 // *schema.Error where a rule of the schema or a rule across values is broken.
-func Parse(text []byte) (*Tree, error) {
+func Parse(text []byte) (*Tree, error) { return ParseAfter(nil, text) }
+
+// ParseAfter is Parse for the successor of a tree. It shares the services whose
+// nodes state the same text as before: most versions change few of them.
+func ParseAfter(previous *Tree, text []byte) (*Tree, error) {
 	if _, err := treeSchema.Check(text); err != nil {
 		return nil, err
 	}
@@ -86,6 +91,10 @@
 		t.services[regionName] = make(map[string]*Resolved, len(region.Services))
 		parent := fleet.with(level{"region/" + regionName, region.Defaults})
 		for serviceName, text := range region.Services {
+			if same := previous.Lookup(regionName, serviceName); same.isFrom(parent.levels, text) {
+				t.services[regionName][serviceName] = same
+				continue
+			}
 			node := fmt.Sprintf("region/%s/service/%s", regionName, serviceName)
 			resolved := parent.with(level{node, text})
 			if resolved.err != nil {
@@ -102,8 +111,12 @@
 	return t, nil
 }
 
-// Lookup returns the resolved settings of a service, or nil.
+// Lookup returns the resolved settings of a service, or nil. A nil tree has no
+// services.
 func (t *Tree) Lookup(region, service string) *Resolved {
+	if t == nil {
+		return nil
+	}
 	return t.services[region][service]
 }
 
@@ -139,6 +152,20 @@
 	return b
 }
 
+// isFrom reports whether r was resolved from a parent with these levels and a
+// node with this text.
+func (r *Resolved) isFrom(parent []level, text []byte) bool {
+	if r == nil || len(r.levels) != len(parent)+1 {
+		return false
+	}
+	for i, l := range parent {
+		if !bytes.Equal(r.levels[i].text, l.text) {
+			return false
+		}
+	}
+	return bytes.Equal(r.levels[len(parent)].text, text)
+}
+
 // Values returns every setting by its path, for example "queue.maxWaitMs". It
 // is made when asked for, because requests do not need it.
 func (r *Resolved) Values() map[string]Value {
--- a/pkg/config/dynamic/tree_test.go
+++ b/pkg/config/dynamic/tree_test.go
@@ -1,9 +1,11 @@
 package dynamic_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/schema"
@@ -53,3 +55,29 @@
 		})
 	}
 }
+
+// Guards against a service that keeps its old settings because only a node
+// above it changed.
+func TestParseAfterEqualsParse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(version int) []byte {
+			node := func(name string) string {
+				return rapid.SampledFrom([]string{`{}`, `{"timeoutMs":5}`, `{"queue":{"maxWaitMs":7}}`, `{"idempotentMethods":["GET"]}`}).Draw(t, name)
+			}
+			return fmt.Appendf(nil, `{"version":%d,"fleet":{"defaults":%s},"regions":{"r":{"defaults":%s,"services":{"a":%s,"b":%s}}}}`,
+				version, node("fleet"), node("region"), node("a"), node("b"))
+		}
+		var previous *dynamic.Tree
+		for version := range 4 {
+			text := draw(version + 1)
+			fresh, err := dynamic.Parse(text)
+			require.NoError(t, err)
+			previous, err = dynamic.ParseAfter(previous, text)
+			require.NoError(t, err)
+			for _, service := range []string{"a", "b"} {
+				require.Equal(t, fresh.Lookup("r", service).Service, previous.Lookup("r", service).Service)
+				require.Equal(t, fresh.Lookup("r", service).Values(), previous.Lookup("r", service).Values())
+			}
+		}
+	})
+}
--- a/pkg/settings/store.go
+++ b/pkg/settings/store.go
@@ -86,7 +86,7 @@
 	if s.refused[digest] == Invalid {
 		return Invalid
 	}
-	next, err := dynamic.Parse(text)
+	next, err := dynamic.ParseAfter(current, text)
 	if err != nil {
 		s.remember(digest, Invalid)
 		s.rec.Record(eventInvalid, events.F("source", source), events.F("error", err.Error()))
