--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -26,6 +26,10 @@
 	flaggy.Bool(&checkOnly, "", "check", "check the settings file and exit")
 	flaggy.Parse()
 
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "lentilpin-entry: no settings file given; use --settings FILE")
+		os.Exit(buildinfo.ExitUsage)
+	}
 	conf, err := static.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
--- a/pkg/config/dynamic/tree_test.go
+++ b/pkg/config/dynamic/tree_test.go
@@ -37,7 +37,7 @@
 // against errors that do not say where.
 func TestViolations(t *testing.T) {
 	tests := []struct{ desc, text, path, value, rule string }{
-		{"unknown member", `{"version":1,"fleet":{"defaults":{"timeout":1}}}`, "/fleet/defaults", `{"timeout":1}`, "timeout"},
+		{"unknown member", `{"version":1,"fleet":{"defaults":{"timeout":1}}}`, "/fleet/defaults/timeout", "1", "unknown member"},
 		{"wrong type", `{"version":1,"fleet":{"defaults":{"timeoutMs":"x"}}}`, "/fleet/defaults/timeoutMs", `"x"`, "integer"},
 		{"out of range", `{"version":1,"fleet":{"defaults":{"timeoutMs":0}}}`, "/fleet/defaults/timeoutMs", "0", "minimum"},
 		{"POST is never idempotent", `{"version":1,"fleet":{"defaults":{"idempotentMethods":["POST"]}}}`, "/fleet/defaults/idempotentMethods/0", `"POST"`, "not"},
--- a/pkg/config/schema/schema.go
+++ b/pkg/config/schema/schema.go
@@ -7,10 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 )
@@ -91,13 +94,27 @@
 		}
 		return
 	}
-	out.Violations = append(out.Violations, Violation{
-		Path:  "/" + strings.Join(ve.InstanceLocation, "/"),
-		Value: s.show(ve.InstanceLocation, doc),
-		Rule:  ve.ErrorKind.LocalizedString(message.NewPrinter(language.English)),
-	})
+	path := ve.InstanceLocation
+	switch k := ve.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, member := range k.Properties {
+			out.add(append(slices.Clip(path), member), s.show(append(slices.Clip(path), member), doc), "unknown member")
+		}
+	case *kind.Required:
+		for _, member := range k.Missing {
+			out.add(append(slices.Clip(path), member), "(none)", "a value is required")
+		}
+	default:
+		out.add(path, s.show(path, doc), ve.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+	}
 }
 
+func (e *Error) add(path []string, value, rule string) {
+	e.Violations = append(e.Violations, Violation{Path: "/" + strings.Join(path, "/"), Value: value, Rule: rule})
+}
+
+// show returns a value as JSON, shortened. Objects and arrays are not shown,
+// because a file of another kind may hold secrets in them.
 func (s *Schema) show(path []string, doc any) string {
 	for _, p := range path {
 		if s.secret[p] {
@@ -107,19 +124,18 @@
 		case map[string]any:
 			doc = d[p]
 		case []any:
-			var i int
-			if _, err := fmt.Sscan(p, &i); err != nil || i >= len(d) {
+			i, err := strconv.Atoi(p)
+			if err != nil || i < 0 || i >= len(d) {
 				return "?"
 			}
 			doc = d[i]
 		}
 	}
-	if object, ok := doc.(map[string]any); ok {
-		for member := range object {
-			if s.secret[member] {
-				return "(object with secrets)"
-			}
-		}
+	switch doc.(type) {
+	case map[string]any:
+		return "(object)"
+	case []any:
+		return "(array)"
 	}
 	text, err := json.Marshal(doc)
 	if err != nil {
