--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -50,8 +50,8 @@
 }
 
 // PerInstance returns the connections that one entry may hold to one backend
-// server, at least one. The sum over all entries stays at or below PerBackend
-// as long as PerBackend is at least InstanceCeiling, which Parse checks.
+// server, at least one. Where there are more entries than connections, package
+// subset lets only a part of them use one backend server.
 func (s *Service) PerInstance() int {
 	return max(1, s.Connections.PerBackend/s.InstanceCeiling)
 }
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -195,6 +195,10 @@
 	}
 }
 
+// maxInstancesPerConnection is how many times more entries than connections of a backend
+// server there may be; package subset is tested up to this ratio.
+const maxInstancesPerConnection = 3
+
 // check applies the rules that span several values.
 func (r *Resolved) check(path string) []schema.Violation {
 	s := &r.Service
@@ -202,9 +206,9 @@
 	add := func(member string, value any, rule string) {
 		out = append(out, schema.Violation{Path: path + "/" + member, Value: fmt.Sprint(value), Rule: rule})
 	}
-	if s.Connections.PerBackend < s.InstanceCeiling {
+	if maxInstancesPerConnection*s.Connections.PerBackend < s.InstanceCeiling {
 		add("connections/perBackend", s.Connections.PerBackend,
-			fmt.Sprintf("must be at least instanceCeiling (%d), so that each entry may hold one connection", s.InstanceCeiling))
+			fmt.Sprintf("must be at least a %dth of instanceCeiling (%d), so that the entries can share the backend servers", maxInstancesPerConnection, s.InstanceCeiling))
 	}
 	if s.Keys.GrantMS >= s.Keys.LifetimeMS {
 		add("keys/grantMs", s.Keys.GrantMS, fmt.Sprintf("must be below keys.lifetimeMs (%d)", s.Keys.LifetimeMS))
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -14,12 +14,14 @@
 	"lentilpin/pkg/quarantine"
 	"lentilpin/pkg/retry"
 	"lentilpin/pkg/routing"
+	"lentilpin/pkg/routing/subset"
 	"lentilpin/pkg/transport"
 )
 
 // service is the state of one service. It outlasts settings versions.
 type service struct {
 	name       string
+	ordinal    int
 	now        func() time.Duration
 	settings   atomic.Pointer[dynamic.Service]
 	set        *routing.Set
@@ -52,6 +54,7 @@
 	scope := g.o.Scope.Tagged(map[string]string{"service": name})
 	s := &service{
 		name:       name,
+		ordinal:    g.o.Ordinal,
 		now:        g.now,
 		set:        set,
 		outliers:   outlier.New(settings, rec),
@@ -88,6 +91,8 @@
 // may get work, leaving are those that the list says are leaving.
 func (s *service) update(live []routing.Backend, leaving []string) {
 	now := s.now()
+	conf := s.settings.Load()
+	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
 	s.set.Update(now, live)
 	addresses := make([]string, len(live))
 	for i, b := range live {
