--- a/pkg/ledger/doc.go
+++ b/pkg/ledger/doc.go
@@ -45,6 +45,21 @@
 // MaxReplayBytes over all records; above it a record keeps the status only.
 // Lost with the process unless handed over.
 //
+// # Additions to docs/design.md
+//
+// Owner.Drain waits for open grants, Owner.HandOver sends the chunks and keeps
+// to one successor, Owner.Stats returns sizes, and Claimant.Settle reports
+// whether the owner has confirmed. OwnerOptions.MaxReplayBytes bounds all kept
+// responses together. An adopted ledger may hold as many claims as the own one.
+// The text form of a key is 60 characters for an IPv4 owner and 76 for IPv6.
+// The owner's age leaves out the wall clock.
+//
+// # Shutdown of an entry
+//
+// Seal, Drain, HandOver; on success the successor's address is published, and
+// the peer listener is closed last, so that late claims and settles are told
+// that the owner moved on.
+//
 // # Tests
 //
 // docs/proofs/ledger.md lists them with the fault that each has caught.
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +58,27 @@
 	}
 }
 
+// Guards against claims that race for one key.
+func TestConcurrentClaimsGrantOnce(t *testing.T) {
+	o := calm(t).nodes[0].Owner
+	var granted atomic.Int32
+	var all sync.WaitGroup
+	for range 50 {
+		key := o.Issue(time.Minute)
+		for range 8 {
+			all.Go(func() {
+				resp := o.Claim(&peerpb.ClaimRequest{Key: key, Fingerprint: make([]byte, 32)})
+				if resp.GetState() == peerpb.ClaimState_CLAIM_STATE_GRANTED {
+					granted.Add(1)
+					o.Settle(&peerpb.SettleRequest{Key: key, Grant: resp.GetGrant(), Run: peerpb.Run_RUN_NOT_RUN})
+				}
+			})
+		}
+	}
+	all.Wait()
+	require.EqualValues(t, 50, granted.Load())
+}
+
 // Guards against a settle that changes a result or belongs to another grant.
 func TestFirstSettleDecides(t *testing.T) {
 	w := calm(t)
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -23,5 +23,10 @@
 // closed a moment after its last reply. Serve returns after the last of them;
 // the longest call bounds that time.
 //
+// A claim may wait as long as the caller's context says, up to one minute,
+// because claimMs is a setting; 500 ms is its default here. Options.Seen, which
+// docs/design.md does not name, shows the header of every accepted message to
+// the settings and the membership.
+//
 // State: none beyond open connections. The tests run over loopback sockets.
 package peer
