--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -99,7 +99,9 @@
 		m.Reports = takeShare(s.reports, &t.cursor.reports, &allowance, 2)
 		m.Members = append(m.Members, t.rotateMembers(now, &allowance)...)
 	}
-	t.budget.spend(proto.Size(m))
+	size := proto.Size(m)
+	t.budget.spend(size)
+	t.stats.BytesSent += uint64(size)
 	return m
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -94,6 +94,22 @@
 	unusable  []byte                   // digest of a peer's tree that was refused
 	confirmAt uint64                   // epoch in which calls for confirmation started
 	packed    packedTree
+	stats     Stats
+}
+
+// Stats are what the exchange has cost since the start. Bytes are those of the
+// encoded messages, without the framing of the connection and without trees.
+type Stats struct {
+	Started, Failed, Served   uint64 // exchanges
+	BytesSent, BytesReceived  uint64
+	TreesFetched, TreesServed uint64
+}
+
+// Stats returns the counters.
+func (t *Table) Stats() Stats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
 }
 
 // pull asks Run to fetch the tree of a peer.
@@ -209,6 +225,8 @@
 	s := t.readSource(sender != nil && sender.FailureDomain == t.o.Self.FailureDomain)
 	t.mergeSource(in.Drains, in.Quarantines, in.Reports)
 	t.mu.Lock()
+	t.stats.Served++
+	t.stats.BytesReceived += uint64(proto.Size(in))
 	now := t.now()
 	t.merge(now, in.Members)
 	out := t.compose(now, s, false)
@@ -256,6 +274,7 @@
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		out.Tree = t.packed.of(tree)
+		t.stats.TreesServed++
 	}
 	return out
 }
@@ -349,6 +368,7 @@
 	epoch := t.o.Store.Epoch()
 	s := t.readSource(t.domainOf(address) == t.o.Self.FailureDomain)
 	t.mu.Lock()
+	t.stats.Started++
 	in := t.compose(t.now(), s, small)
 	t.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
@@ -357,10 +377,12 @@
 	t.mu.Lock()
 	if err != nil {
 		t.failures[address]++
+		t.stats.Failed++
 		t.mu.Unlock()
 		return
 	}
 	delete(t.failures, address)
+	t.stats.BytesReceived += uint64(proto.Size(out))
 	now := t.now()
 	t.merge(now, out.Members)
 	t.met(address, out.GetHeader().GetIncarnation())
@@ -394,9 +416,11 @@
 		t.o.Recorder.Record(eventTreeFetch, events.F("address", address), events.F("version", version), events.F("error", err.Error()))
 		return
 	}
-	if t.o.Store.Offer(text, "peer "+address) == settings.Invalid {
-		t.mu.Lock()
+	result := t.o.Store.Offer(text, "peer "+address)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.TreesFetched++
+	if result == settings.Invalid {
 		t.unusable = out.GetHeader().GetDigest()
-		t.mu.Unlock()
 	}
 }
