--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -30,9 +30,12 @@
 //
 // Runner joins the table with the readers of the platform and the store.
 //
-// Differences from docs/design.md section 16: Options.Self is a pointer, since
-// a message must not be copied; Announce, HandleTree, Header and SetInstances
-// are additional.
+// A tree between peers is compressed, since every change sends the whole tree.
+//
+// Differences from docs/design.md: Options.Self is a pointer, since a message
+// must not be copied. After a pause the service alone confirms only after 3 s.
+// Watchers by rendezvous rank are not built, see docs/decisions/settings.md.
+// Notify, Announce, HandleTree, Header, SetInstances and Stats are additional.
 //
 // State: the table, replies of this epoch, the last instance list; lost on
 // exit and rebuilt by exchange. Tests run a whole fleet of tables over an
