--- a/pkg/measure/budget.go
+++ b/pkg/measure/budget.go
@@ -134,13 +134,22 @@
 func (b *Budgets) Take(now time.Duration, s *routing.Server, bytes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.suspended || !b.All.Ready(now) || !s.Local() && !b.CrossDomain.Take(now, bytes) || !b.All.Take(now, bytes) {
+	if b.suspended || !b.take(now, s.Local(), bytes) {
 		b.refused++
 		return false
 	}
 	return true
 }
 
+// take takes from the cross-domain budget only where the other one is ready, so
+// that no message of it is lost.
+func (b *Budgets) take(now time.Duration, local bool, bytes int) bool {
+	if !local && b.All.Ready(now) && !b.CrossDomain.Take(now, bytes) {
+		return false
+	}
+	return b.All.Take(now, bytes)
+}
+
 // Report records an event when the budget has begun or ceased to refuse probes.
 // It judges once in a Window, because between two messages of the share a wanted
 // probe waits in any case; the gateway calls it about once a second.
--- a/pkg/measure/budget_test.go
+++ b/pkg/measure/budget_test.go
@@ -208,6 +208,8 @@
 	b.Suspend(false)
 	require.True(t, b.Take(3000*time.Millisecond, local, 300))
 	require.Equal(t, uint64(3), b.All.Usage().Sent)
+	require.Equal(t, uint64(3), b.All.Usage().Refused, "two too early, one too large")
+	require.Equal(t, uint64(1), b.CrossDomain.Usage().Refused)
 	none := measure.NewBudgets(0, s, 1)
 	require.False(t, none.Take(time.Hour, local, 300), "ordinal at the ceiling")
 }
