--- a/pkg/measure/doc.go
+++ b/pkg/measure/doc.go
@@ -24,6 +24,10 @@
 // change the ceiling, publish a budget of 0 first. docs/decisions/
 // measuring-budget.md has the details.
 //
+// Differences from the design page: Budgets joins the two budgets of a service,
+// a probe across failure domains needs both, and the interval is rounded up to
+// whole messages per window.
+//
 // Tests: budget_test.go has a rapid state machine that tries to exceed the sum,
 // and the counterexample of a budget divided by a list of live instances.
 package measure
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -15,6 +15,11 @@
 // Load reports come with ordinary responses (Server.Observe), with replies to
 // probes (Set.Probed) and from other instances of the failure domain (Merge).
 //
+// Differences from the design page: the types that policies read are in
+// pkg/routing/server; a decision counts all own attempts in flight instead of
+// those sent since the report, because the age of a report is not known. Probed,
+// Merge, Settings, ProbesPerRequest and Requests are additions.
+//
 // Tests: routing_test.go (properties of Pick, concurrent use, explanations) and
 // bench_test.go (time and allocations of a decision). The quality of the
 // policies is measured by pkg/bench.
