--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -53,8 +53,15 @@
 const (
 	slowStartWeight = 0.1                   // weight at the beginning of slow start
 	minLatencyGap   = 10 * time.Millisecond // jitter of short requests below this ejects nobody
-	minJudged       = 3                     // servers with data below which there is no meaningful median
-	maxKept         = 1024                  // servers outside the list that are remembered
+	// failingFor and slowFor are how long a backend server must be the failing or
+	// slow one without a break. The newest attempts of servers are of different
+	// age. When all become slow at once, those that get work only since then look
+	// slow for up to 2 s; when all work again, those with little work look as if
+	// they still failed. Errors get less time, as each one costs a retry.
+	failingFor = time.Second
+	slowFor    = 2 * time.Second
+	minJudged  = 3    // servers with data below which there is no meaningful median
+	maxKept    = 1024 // servers outside the list that are remembered
 )
 
 // Change is a new state or weight of a backend server. From equals To where only
@@ -104,6 +111,8 @@
 	sentState  State
 	sentWeight float64
 	blocked    bool // the bound on ejections was reported
+	failing    condition
+	slow       condition
 }
 
 // Detector judges the backend servers of one service.
@@ -127,11 +136,27 @@
 	fields []events.Field
 }
 
+// condition is something that must last without a break.
+type condition struct {
+	holds bool
+	since time.Duration
+}
+
+// lasts takes the state at now and reports whether it has held for d.
+func (c *condition) lasts(now time.Duration, holds bool, d time.Duration) bool {
+	if holds && !c.holds {
+		c.since = now
+	}
+	c.holds = holds
+	return holds && now-c.since >= d
+}
+
 type judged struct {
-	s     *server
-	tally tally
-	score float64 // above 1: to be ejected
-	why   string
+	s      *server
+	errors tally   // the newest attempts
+	timed  tally   // the newest latencies
+	score  float64 // above 1: to be ejected
+	why    string
 }
 
 // New returns a detector without backend servers.
@@ -411,6 +436,7 @@
 func (d *Detector) enter(now time.Duration, s *server, to State, reason string) {
 	from := s.state
 	s.state, s.reason, s.since, s.blocked = to, reason, now, false
+	s.failing, s.slow = condition{}, condition{}
 	address, why := events.F("address", s.address), events.F("reason", reason)
 	switch to {
 	case Draining:
@@ -502,12 +528,13 @@
 		if s.state != Healthy && s.state != SlowStart {
 			continue
 		}
-		if sum := s.window.sum(now); int(sum.attempts) >= d.settings.MinRequests {
-			d.scratch = append(d.scratch, judged{s: s, tally: sum})
-		}
+		n := int32(d.settings.MinRequests)
+		d.scratch = append(d.scratch, judged{
+			s: s, errors: s.window.recent(now, n, buckets, false), timed: s.window.recent(now, n, latencyBuckets, true),
+		})
 	}
-	d.scoreErrors()
-	d.scoreLatency()
+	d.scoreErrors(now)
+	d.scoreLatency(now)
 	slices.SortStableFunc(d.scratch, func(a, b judged) int { return cmp.Compare(b.score, a.score) })
 	allowed, ejected := d.bound()
 	for _, j := range d.scratch {
@@ -526,38 +553,44 @@
 
 // scoreErrors scores by the share of errors. Errors weigh more than latency, so
 // that failing servers are ejected before slow ones.
-func (d *Detector) scoreErrors() {
+func (d *Detector) scoreErrors(now time.Duration) {
 	for i := range d.scratch {
-		ratio := d.scratch[i].tally.errorRatio()
-		if ratio < d.settings.ErrorRatio {
-			continue
-		}
-		others := d.medianOf(i, func(j *judged) float64 { return j.tally.errorRatio() })
-		if ratio >= 2*others {
-			d.scratch[i].score, d.scratch[i].why = 1e6+ratio, ReasonErrors
+		j := &d.scratch[i]
+		ratio := j.errors.errorRatio()
+		failing := d.hasErrors(j) && ratio >= d.settings.ErrorRatio &&
+			ratio >= 2*d.medianOf(i, d.hasErrors, func(j *judged) float64 { return j.errors.errorRatio() })
+		if j.s.failing.lasts(now, failing, failingFor) {
+			j.score, j.why = 1e6+ratio, ReasonErrors
 		}
 	}
 }
 
-func (d *Detector) scoreLatency() {
-	if len(d.scratch) < minJudged {
-		return
-	}
-	median := d.medianOf(-1, func(j *judged) float64 { return float64(j.tally.mean()) })
+// hasErrors reports whether there are enough attempts for a share of errors.
+func (d *Detector) hasErrors(j *judged) bool { return int(j.errors.attempts) >= d.settings.MinRequests }
+
+// hasLatency reports whether there are enough latencies for a mean.
+func (d *Detector) hasLatency(j *judged) bool { return int(j.timed.timed) >= d.settings.MinRequests }
+
+func (d *Detector) scoreLatency(now time.Duration) {
+	median := d.medianOf(-1, d.hasLatency, func(j *judged) float64 { return float64(j.timed.mean()) })
 	limit := max(median*d.settings.LatencyFactor, median+float64(minLatencyGap))
+	enough := len(d.values) >= minJudged
 	for i := range d.scratch {
 		j := &d.scratch[i]
-		if mean := float64(j.tally.mean()); j.score == 0 && mean > limit {
+		mean := float64(j.timed.mean())
+		slow := enough && d.hasLatency(j) && mean > limit
+		if j.s.slow.lasts(now, slow, slowFor) && j.score == 0 {
 			j.score, j.why = mean/limit, ReasonLatency
 		}
 	}
 }
 
-// medianOf returns the lower median of a value over all judged servers but one.
-func (d *Detector) medianOf(except int, value func(*judged) float64) float64 {
+// medianOf returns the lower median of a value over the servers that has admits,
+// but for one.
+func (d *Detector) medianOf(except int, has func(*judged) bool, value func(*judged) float64) float64 {
 	d.values = d.values[:0]
 	for i := range d.scratch {
-		if i != except {
+		if i != except && has(&d.scratch[i]) {
 			d.values = append(d.values, value(&d.scratch[i]))
 		}
 	}
--- a/pkg/outlier/doc.go
+++ b/pkg/outlier/doc.go
@@ -12,12 +12,16 @@
 //
 // A backend server is ejected for its share of errors (error responses, broken
 // connections, timeouts) if that is at least errorRatio and at least twice the
-// median of the others; if all fail alike, ejection would only move the load.
+// median of the others for 1 s without a break; if all fail alike, ejection would
+// only move the load.
 // It is ejected for its mean latency if that is above latencyFactor times the
-// median of the service and at least 10 ms above it. Shed responses do not count
+// median of the service and at least 10 ms above it, for 2 s without a break. Shed responses do not count
 // as errors: an overloaded server that sheds properly does what it should, and
-// ejecting it would overload the next. Judgements cover the last 10 s and need
-// minRequests attempts.
+// ejecting it would overload the next. A judgement
+// needs minRequests attempts and covers the newest seconds that hold so many, at
+// most 10 s for errors and 3 s for latency: older attempts would hide a busy
+// server's sudden failure, or hold an overload that is over against a server
+// that gets little work.
 //
 // At most floor(maxEjectRatio x servers that are not draining) are ejected; with
 // the default 0.33 that is none of 3 and one of 6. The bound holds after
--- a/pkg/outlier/window.go
+++ b/pkg/outlier/window.go
@@ -9,7 +9,10 @@
 
 const (
 	bucketLength = time.Second
-	buckets      = 10 // a judgement covers the last 10 s
+	buckets      = 10 // attempts older than 10 s say nothing
+	// latencyBuckets is shorter, because a backend server that gets little work
+	// would otherwise be judged by how slow it was in an overload that is over.
+	latencyBuckets = 3
 )
 
 // tally is the sum of attempts of a span of time.
@@ -20,6 +23,13 @@
 	latency  time.Duration
 }
 
+func (t *tally) add(o tally) {
+	t.attempts += o.attempts
+	t.errors += o.errors
+	t.timed += o.timed
+	t.latency += o.latency
+}
+
 func (t tally) errorRatio() float64 {
 	if t.attempts == 0 {
 		return 0
@@ -67,7 +77,7 @@
 	case routing.Canceled:
 		// A lower bound: the losers of hedges are the slow attempts, so leaving
 		// them out would hide a slow server.
-		if latency > t.mean() {
+		if latency >= t.mean() {
 			t.timed++
 			t.latency += latency
 		}
@@ -84,10 +94,28 @@
 		if w.epochs[i] < oldest {
 			continue
 		}
-		out.attempts += t.attempts
-		out.errors += t.errors
-		out.timed += t.timed
-		out.latency += t.latency
+		out.add(t)
+	}
+	return out
+}
+
+// recent sums the newest seconds that hold at least n attempts, or n latencies if
+// timed is set, going back span seconds at most. Older attempts would hide that
+// a busy backend server has just begun to fail, or to work again.
+func (w *window) recent(now time.Duration, n int32, span int64, timed bool) tally {
+	newest := int64(now / bucketLength)
+	var out tally
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for epoch := newest; epoch > newest-span && epoch >= 0; epoch-- {
+		i := epoch % buckets
+		if w.epochs[i] != epoch {
+			continue
+		}
+		out.add(w.tallys[i])
+		if timed && out.timed >= n || !timed && out.attempts >= n {
+			return out
+		}
 	}
 	return out
 }
