--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -14,12 +14,14 @@
 	"lentilpin/pkg/quarantine"
 	"lentilpin/pkg/retry"
 	"lentilpin/pkg/routing"
+	"lentilpin/pkg/routing/subset"
 	"lentilpin/pkg/transport"
 )
 
 // service is the state of one service. It outlasts settings versions.
 type service struct {
 	name       string
+	ordinal    int
 	now        func() time.Duration
 	settings   atomic.Pointer[dynamic.Service]
 	set        *routing.Set
@@ -32,6 +34,7 @@
 	budgets    *measure.Budgets
 	prober     *measure.Prober
 
+	notify  func()
 	lastUse atomic.Int64 // time of the last attempt
 
 	limitsMu sync.Mutex
@@ -51,6 +54,7 @@
 	scope := g.o.Scope.Tagged(map[string]string{"service": name})
 	s := &service{
 		name:       name,
+		ordinal:    g.o.Ordinal,
 		now:        g.now,
 		set:        set,
 		outliers:   outlier.New(settings, rec),
@@ -59,6 +63,7 @@
 		retries:    retry.NewBudget(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond),
 		hedgeDelay: retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		limits:     map[*routing.Server]*limit.Concurrency{},
+		notify:     g.o.Notify,
 		budgets:    budgets,
 		prober:     measure.NewProber(set, budgets, seed),
 		hedges:     scope.Counter("hedges"),
@@ -86,6 +91,8 @@
 // may get work, leaving are those that the list says are leaving.
 func (s *service) update(live []routing.Backend, leaving []string) {
 	now := s.now()
+	conf := s.settings.Load()
+	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
 	s.set.Update(now, live)
 	addresses := make([]string, len(live))
 	for i, b := range live {
@@ -161,6 +168,9 @@
 		if change.Weight == 0 {
 			s.pool.Retire(change.Address)
 		}
+		if change.To == outlier.Draining {
+			s.notify()
+		}
 	}
 	s.queue.Wake()
 }
