--- a/pkg/limit/queue_test.go
+++ b/pkg/limit/queue_test.go
@@ -123,11 +123,15 @@
 		var order []string
 		admit := func(ctx context.Context, name string, try func() bool) {
 			go func() {
-				if q.Admit(ctx, try) == nil {
+				_ = q.Admit(ctx, func() bool {
+					if !try() {
+						return false
+					}
 					s.mu.Lock()
 					defer s.mu.Unlock()
 					order = append(order, name)
-				}
+					return true
+				})
 			}()
 			synctest.Wait()
 		}
@@ -206,14 +210,22 @@
 		defer cancel()
 	}
 	arrived := time.Now()
-	err := q.Admit(ctx, s.try)
+	err := q.Admit(ctx, func() bool {
+		if !s.try() {
+			return false
+		}
+		// Recorded here, because the next waiter may run before Admit returns.
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if time.Since(arrived) > 0 {
+			s.waited = append(s.waited, i)
+		}
+		return true
+	})
 	s.mu.Lock()
 	s.ends[i]++
 	s.results[i] = err
 	s.deadline[i] = time.Since(arrived)
-	if err == nil && time.Since(arrived) > 0 {
-		s.waited = append(s.waited, i)
-	}
 	s.mu.Unlock()
 	if err != nil {
 		return
