--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -57,6 +57,9 @@
 		}
 		s.sweep()
 		s.budgets.Suspend(suspended)
+		if isSlowRound {
+			s.retries.Report(g.o.Recorder, s.name)
+		}
 		if !idle {
 			s.sendProbes(ctx, probes)
 		}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
 	"lentilpin/pkg/limit"
 	"lentilpin/pkg/measure"
 	"lentilpin/pkg/outlier"
@@ -44,12 +45,24 @@
 	retried tally.Counter
 }
 
+// serviceRecorder adds the name of the service to the events of packages that
+// do not know it.
+type serviceRecorder struct {
+	rec     events.Recorder
+	service string
+}
+
+// Record implements events.Recorder.
+func (r serviceRecorder) Record(e *events.Event, fields ...events.Field) {
+	r.rec.Record(e, append([]events.Field{events.F("service", r.service)}, fields...)...)
+}
+
 func newService(g *Gateway, name string, seed uint64, settings *dynamic.Service) (*service, error) {
 	set, err := routing.NewSet(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: seed, Settings: settings})
 	if err != nil {
 		return nil, err
 	}
-	rec := g.o.Recorder
+	rec := serviceRecorder{g.o.Recorder, name}
 	budgets := measure.NewBudgets(g.now(), settings, g.o.Ordinal)
 	scope := g.o.Scope.Tagged(map[string]string{"service": name})
 	s := &service{
@@ -84,6 +97,12 @@
 	s.budgets.Configure(settings)
 	s.hedgeDelay.Configure(settings.Retry.HedgePercentile)
 	s.retries.Configure(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond)
+	s.limitsMu.Lock()
+	for server, c := range s.limits {
+		c.SetMax(int32(settings.PerInstance()))
+		server.SetLimit(c.Limit())
+	}
+	s.limitsMu.Unlock()
 	return s.set.Configure(settings)
 }
 
--- /dev/null
+++ b/pkg/gateway/service_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/routing"
+)
+
+type eventLog []string
+
+func (l *eventLog) Record(e *events.Event, fields ...events.Field) {
+	*l = append(*l, fmt.Sprintf("%s %v", e.Name, fields[0]))
+}
+
+// Guards against changes of a service in the audit trail without its name, an
+// exhausted retry budget that nobody hears of, and a limit above a connection
+// share that new settings have lowered.
+func TestServiceReportsAndFollowsSettings(t *testing.T) {
+	var log eventLog
+	g := &Gateway{o: Options{Recorder: &log, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, Notify: func() {}}, start: time.Now()}
+	tree, err := dynamic.Parse([]byte(fixtureTree))
+	require.NoError(t, err)
+	s, err := newService(g, "shop", 1, &tree.Lookup("r", "shop").Service)
+	require.NoError(t, err)
+	t.Cleanup(s.pool.Close)
+	s.update([]routing.Backend{{Address: "a"}}, []string{"a"})
+	g.services.Store(newServices(map[string]*service{"shop": s}))
+	visit := func() {
+		for tick := range roundTicks {
+			var probes sync.WaitGroup
+			g.visit(t.Context(), tick, &probes)
+			probes.Wait()
+		}
+	}
+	for s.retries.Take(0) {
+	}
+	visit()
+	visit()
+	require.Equal(t, eventLog{"backend_draining {service shop}", "retry_budget_exhausted {service shop}", "retry_budget_recovered {service shop}"}, log)
+
+	server := s.set.Server("a")
+	require.EqualValues(t, 6, s.concurrency(server).Limit())
+	lower := *s.settings.Load()
+	lower.InstanceCeiling = 100
+	require.NoError(t, s.configure(&lower))
+	require.EqualValues(t, 2, server.Limit())
+}
