--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -189,15 +189,20 @@
 	require.NotContains(t, out, "wrong-credential")
 }
 
-// Guards against a credential that is taken from the wrong place or shown, and
-// against values that are used although they are wrong.
-func TestOptions(t *testing.T) {
-	dir := t.TempDir()
-	file := func(name, text string) string {
+// files returns a directory and a function that writes a file in it.
+func files(t *testing.T) (dir string, file func(name, text string) string) {
+	dir = t.TempDir()
+	return dir, func(name, text string) string {
 		path := filepath.Join(dir, name)
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		return path
 	}
+}
+
+// Guards against a credential that is taken from the wrong place or shown, and
+// against values that are used although they are wrong.
+func TestOptions(t *testing.T) {
+	dir, file := files(t)
 	secret := file("secret", "from-the-file\n")
 	plain := file("plain.json", `{"entries":["127.0.0.1:1"],"credential":"from-the-settings"}`)
 	pointer := file("pointer.json", `{"entries":["127.0.0.1:1","[::1]:2"],"credentialFile":"`+secret+`"}`)
@@ -243,12 +248,7 @@
 // Guards against a tree that passes although entries would refuse it, errors
 // without path, value and rule, and changes that are not shown.
 func TestTrees(t *testing.T) {
-	dir := t.TempDir()
-	file := func(name, text string) string {
-		path := filepath.Join(dir, name)
-		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-		return path
-	}
+	dir, file := files(t)
 	old := file("old", `{"version":3,"regions":{"r":{"services":{"maksu":{},"varasto":{"timeoutMs":300},"tilaus":{}}}}}`)
 	next := file("next", `{"version":4,"regions":{"r":{"services":{"maksu":{},"varasto":{"timeoutMs":400,"queue":{"maxWaitMs":7}},"toimitus":{}}}}}`)
 	same := file("same", `{"version":3,"regions":{"r":{"services":{"maksu":{}}}}}`)
