--- a/pkg/bench/output.go
+++ b/pkg/bench/output.go
@@ -166,11 +166,12 @@
 			c.product.p99(), c.best99.p99(), verdict(c.met99()), c.product.p999(), c.best999.p999(), verdict(c.met999()), errs, c.probeShare)
 	}
 	fmt.Fprintln(w, "errors: lentilpin/best baseline by p99.9; a failed request counts as 2 s")
-	hedged := map[string]bool{"prequal-hedged": true}
+	hedged := map[string]bool{"prequal-hedged": true, "leastoutstanding-hedged": true}
 	writeCount(w, compare(groups, "lentilpin", baselines), "lentilpin against the best baseline")
 	writeCount(w, compare(groups, "lentilpin-nohedge", baselines), "lentilpin without hedges against the best baseline")
 	writeCount(w, compare(groups, "lentilpin-routingonly", baselines), "routing alone against the best baseline")
-	writeCount(w, compare(groups, "lentilpin", hedged), "lentilpin against prequal-hedged")
+	writeCount(w, compare(groups, "lentilpin", hedged), "lentilpin against prequal-hedged and leastoutstanding-hedged")
+	writeCount(w, compare(groups, "lentilpin-nodomains", baselines), "lentilpin without failure domains against the best baseline")
 }
 
 func writeCount(w io.Writer, list []comparison, what string) {
@@ -238,7 +239,7 @@
 
 // curve is the percentiles of a plot; its x axis is 1 / (1 - percentile) on a
 // logarithmic scale, so that each factor of ten adds a nine.
-var curve = []float64{0, 25, 50, 75, 90, 95, 98, 99, 99.5, 99.8, 99.9, 99.95}
+var curve = []float64{50, 75, 90, 95, 98, 99, 99.5, 99.8, 99.9, 99.95}
 
 func writePlots(dir string, groups []*group) error {
 	byPlot := map[string][]*group{}
@@ -263,6 +264,7 @@
 	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.TextStyle.Font.Size = vg.Points(8)
 	for i, g := range list {
 		var points plotter.XYs
 		for _, q := range curve {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -8,18 +8,21 @@
 	"github.com/uber-go/tally/v4"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/events"
 	"lentilpin/pkg/limit"
 	"lentilpin/pkg/measure"
 	"lentilpin/pkg/outlier"
 	"lentilpin/pkg/quarantine"
 	"lentilpin/pkg/retry"
 	"lentilpin/pkg/routing"
+	"lentilpin/pkg/routing/subset"
 	"lentilpin/pkg/transport"
 )
 
 // service is the state of one service. It outlasts settings versions.
 type service struct {
 	name       string
+	ordinal    int
 	now        func() time.Duration
 	settings   atomic.Pointer[dynamic.Service]
 	set        *routing.Set
@@ -42,16 +45,29 @@
 	retried tally.Counter
 }
 
+// serviceRecorder adds the name of the service to the events of packages that
+// do not know it.
+type serviceRecorder struct {
+	rec     events.Recorder
+	service string
+}
+
+// Record implements events.Recorder.
+func (r serviceRecorder) Record(e *events.Event, fields ...events.Field) {
+	r.rec.Record(e, append([]events.Field{events.F("service", r.service)}, fields...)...)
+}
+
 func newService(g *Gateway, name string, seed uint64, settings *dynamic.Service) (*service, error) {
 	set, err := routing.NewSet(routing.Options{Service: name, FailureDomain: g.o.FailureDomain, Seed: seed, Settings: settings})
 	if err != nil {
 		return nil, err
 	}
-	rec := g.o.Recorder
+	rec := serviceRecorder{g.o.Recorder, name}
 	budgets := measure.NewBudgets(g.now(), settings, g.o.Ordinal)
 	scope := g.o.Scope.Tagged(map[string]string{"service": name})
 	s := &service{
 		name:       name,
+		ordinal:    g.o.Ordinal,
 		now:        g.now,
 		set:        set,
 		outliers:   outlier.New(settings, rec),
@@ -81,6 +97,12 @@
 	s.budgets.Configure(settings)
 	s.hedgeDelay.Configure(settings.Retry.HedgePercentile)
 	s.retries.Configure(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond)
+	s.limitsMu.Lock()
+	for server, c := range s.limits {
+		c.SetMax(int32(settings.PerInstance()))
+		server.SetLimit(c.Limit())
+	}
+	s.limitsMu.Unlock()
 	return s.set.Configure(settings)
 }
 
@@ -88,6 +110,8 @@
 // may get work, leaving are those that the list says are leaving.
 func (s *service) update(live []routing.Backend, leaving []string) {
 	now := s.now()
+	conf := s.settings.Load()
+	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
 	s.set.Update(now, live)
 	addresses := make([]string, len(live))
 	for i, b := range live {
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
-	"google.golang.org/protobuf/proto"
 
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/events"
@@ -40,10 +39,9 @@
 	list      []platform.Instance
 	revision  uint64
 	changed   chan struct{}
-	bytes     int // of exchanges, sent
-	exchanges int
-	trees     int
 	withheld  bool // Tree calls fail
+	listLate  bool // the list names nobody yet
+	reports   int  // load reports that each node shares
 }
 
 // node is one incarnation of an entry. While paused its clock stands still and
@@ -134,7 +132,7 @@
 		Ordinal: uint32(in.Ordinal), StartedUnixMs: time.Now().UnixMilli(),
 	}}
 	close(n.gate)
-	n.marks = &marks{since: map[string]time.Time{}, notify: func() { n.table.Notify() }}
+	n.marks = &marks{reports: f.reports, since: map[string]time.Time{}, notify: func() { n.table.Notify() }}
 	n.store = settings.NewStore(events.Discard{}, n)
 	seeds := []string{f.list[0].Address, f.list[1].Address, f.list[2].Address}
 	n.table = membership.New(membership.Options{
@@ -173,12 +171,16 @@
 	time.Sleep(time.Second) // for messages under way
 }
 
-// take returns and clears the counters of messages.
-func (f *fleet) take() (bytes, exchanges, trees float64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	defer func() { f.bytes, f.exchanges, f.trees = 0, 0, 0 }()
-	return float64(f.bytes), float64(f.exchanges), float64(f.trees)
+// stats returns the sum over all nodes.
+func (f *fleet) stats() (sum membership.Stats) {
+	for _, n := range f.all() {
+		s := n.table.Stats()
+		sum.Started += s.Started
+		sum.BytesSent += s.BytesSent
+		sum.BytesReceived += s.BytesReceived
+		sum.TreesFetched += s.TreesFetched
+	}
+	return sum
 }
 
 func (f *fleet) all() (out []*node) {
@@ -224,12 +226,13 @@
 	return func(n *node) bool { return n.store.Version() == version }
 }
 
-// marks is the Source of a node: drain marks that are held for 30 s, and the
-// load reports of 42 backend servers.
+// marks is the Source of a node: drain marks that are held for 30 s, and load
+// reports.
 type marks struct {
-	mu     sync.Mutex
-	since  map[string]time.Time
-	notify func()
+	reports int
+	notify  func()
+	mu      sync.Mutex
+	since   map[string]time.Time
 }
 
 func (s *marks) Drains() (out []*peerpb.DrainMark) {
@@ -246,7 +249,7 @@
 func (s *marks) Quarantines() []*peerpb.Quarantine { return nil }
 
 func (s *marks) Reports() (out []*peerpb.LoadReport) {
-	for i := range 42 {
+	for i := range s.reports {
 		out = append(out, &peerpb.LoadReport{
 			Service: "varasto", Address: fmt.Sprintf("10.1.0.%d:8080", i), Inflight: 4, Queued: 1, LatencyMs: 7.5, Slots: 6, AgeMs: 50,
 		})
@@ -362,35 +365,23 @@
 
 // Exchange implements membership.Client.
 func (n *node) Exchange(ctx context.Context, address string, in *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	replies := make(chan *peerpb.ExchangeResponse, 1)
-	err := n.call(ctx, address, func(to *node) {
-		out := to.table.HandleExchange(in)
-		n.f.mu.Lock()
-		n.f.exchanges++
-		n.f.bytes += proto.Size(in) + proto.Size(out)
-		n.f.mu.Unlock()
-		replies <- out
-	})
-	if err != nil {
-		return nil, err
-	}
-	return <-replies, nil
+	return reply(ctx, n, address, func(to *node) *peerpb.ExchangeResponse { return to.table.HandleExchange(in) })
 }
 
 // Tree implements membership.Client.
 func (n *node) Tree(ctx context.Context, address string, in *peerpb.TreeRequest) (*peerpb.TreeResponse, error) {
-	replies := make(chan *peerpb.TreeResponse, 1)
 	n.f.mu.Lock()
-	n.f.trees++
 	withheld := n.f.withheld
 	n.f.mu.Unlock()
 	if withheld {
 		return nil, errDown
 	}
-	err := n.call(ctx, address, func(to *node) {
-		replies <- to.table.HandleTree(in)
-	})
-	if err != nil {
+	return reply(ctx, n, address, func(to *node) *peerpb.TreeResponse { return to.table.HandleTree(in) })
+}
+
+func reply[M any](ctx context.Context, n *node, address string, f func(*node) *M) (*M, error) {
+	replies := make(chan *M, 1)
+	if err := n.call(ctx, address, func(to *node) { replies <- f(to) }); err != nil {
 		return nil, err
 	}
 	return <-replies, nil
@@ -456,6 +447,9 @@
 func (n *node) WatchInstances(ctx context.Context, after uint64) (revision uint64, list []platform.Instance, err error) {
 	err = n.watch(ctx, 25*time.Second, func() bool {
 		revision, list = n.f.revision, n.f.list
+		if n.f.listLate {
+			list = nil
+		}
 		return revision > after
 	})
 	return revision, list, err
--- a/pkg/membership/records_test.go
+++ b/pkg/membership/records_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"lentilpin/pkg/clock/clocktest"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/settings"
@@ -50,7 +52,9 @@
 		boot := func(i int) *Table {
 			incarnation++
 			wall += rapid.Int64Range(-500, 1000).Draw(rt, "clock")
-			return newTable(c, i, incarnation, wall, nil)
+			table := newTable(c, i, incarnation, wall, nil)
+			table.budget.rate = 1 << 20 // messages carry the whole table, as here is about merging
+			return table
 		}
 		for i := range size {
 			tables = append(tables, boot(i))
@@ -157,6 +161,30 @@
 	require.False(t, a.OrdinalConflict())
 }
 
+// Guards against a peer whose small message fills the memory, or whose damaged
+// tree is taken.
+func TestUnpackIsBounded(t *testing.T) {
+	var p packedTree
+	large := p.of(&dynamic.Tree{Text: make([]byte, 2000)})
+	require.Less(t, len(large), 100)
+	_, err := unpack(large, 1999)
+	require.ErrorIs(t, err, errTreeTooLarge)
+	text, err := unpack(large, 2000)
+	require.NoError(t, err)
+	require.Len(t, text, 2000)
+	for _, damaged := range [][]byte{nil, large[:len(large)-1], []byte("{}")} {
+		_, err = unpack(damaged, 2000)
+		require.Error(t, err)
+	}
+	large = p.of(&dynamic.Tree{Text: make([]byte, 16<<20)})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = unpack(large, 1<<20)
+	runtime.ReadMemStats(&after)
+	require.ErrorIs(t, err, errTreeTooLarge)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(8<<20))
+}
+
 // crowd is a Source with more than fits into one exchange.
 type crowd struct{ drains, quarantines, reports int }
 
@@ -196,9 +224,9 @@
 			a.merge(0, []*peerpb.Member{newTable(c, i+2, uint64(i+2), 1, nil).self})
 		}
 		seen := map[string]int{}
-		total, rounds := 0, 40
+		total, rounds := 0, 60
 		for i := range rounds {
-			c.Advance(round)
+			c.Advance(round / 8) // more often than a round, as when many peers call
 			for _, r := range a.records {
 				r.heard = a.now()
 			}
@@ -208,7 +236,7 @@
 			size := proto.Size(out)
 			require.LessOrEqual(t, size, maxExchangeBytes)
 			total += size
-			require.LessOrEqual(t, float64(total), rate*(float64(i+2)*round.Seconds())+smallBytes)
+			require.LessOrEqual(t, float64(total), rate*(1+float64(i+1)*round.Seconds()/8)+smallBytes)
 			for _, d := range out.Drains {
 				seen[d.Address]++
 			}
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -53,8 +53,15 @@
 const (
 	slowStartWeight = 0.1                   // weight at the beginning of slow start
 	minLatencyGap   = 10 * time.Millisecond // jitter of short requests below this ejects nobody
-	minJudged       = 3                     // servers with data below which there is no meaningful median
-	maxKept         = 1024                  // servers outside the list that are remembered
+	// failingFor and slowFor are how long a backend server must be the failing or
+	// slow one without a break. The newest attempts of servers are of different
+	// age. When all become slow at once, those that get work only since then look
+	// slow for up to 2 s; when all work again, those with little work look as if
+	// they still failed. Errors get less time, as each one costs a retry.
+	failingFor = time.Second
+	slowFor    = 2 * time.Second
+	minJudged  = 3    // servers with data below which there is no meaningful median
+	maxKept    = 1024 // servers outside the list that are remembered
 )
 
 // Change is a new state or weight of a backend server. From equals To where only
@@ -104,6 +111,8 @@
 	sentState  State
 	sentWeight float64
 	blocked    bool // the bound on ejections was reported
+	failing    condition
+	slow       condition
 }
 
 // Detector judges the backend servers of one service.
@@ -117,13 +126,37 @@
 	kept     map[string]*server // outside the list
 	scratch  []judged
 	values   []float64
+	pending  []pendingEvent
+}
+
+// pendingEvent waits for the mutex to be free: a log stream that blocks must not
+// hold up Drain, which responses call.
+type pendingEvent struct {
+	event  *events.Event
+	fields []events.Field
+}
+
+// condition is something that must last without a break.
+type condition struct {
+	holds bool
+	since time.Duration
+}
+
+// lasts takes the state at now and reports whether it has held for d.
+func (c *condition) lasts(now time.Duration, holds bool, d time.Duration) bool {
+	if holds && !c.holds {
+		c.since = now
+	}
+	c.holds = holds
+	return holds && now-c.since >= d
 }
 
 type judged struct {
-	s     *server
-	tally tally
-	score float64 // above 1: to be ejected
-	why   string
+	s      *server
+	errors tally   // the newest attempts
+	timed  tally   // the newest latencies
+	score  float64 // above 1: to be ejected
+	why    string
 }
 
 // New returns a detector without backend servers.
@@ -150,7 +183,7 @@
 // Update takes the list of backend servers. Sweep returns the resulting changes.
 func (d *Detector) Update(now time.Duration, addresses []string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	old := *d.servers.Load()
 	list := make(map[string]*server, len(addresses))
 	var added []*server
@@ -258,7 +291,7 @@
 // now.
 func (d *Detector) Merge(now, seen time.Duration, address, source string) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	seen = min(seen, now)
 	if seen+dynamic.MS(d.settings.DrainHoldMS) <= now {
 		return
@@ -287,7 +320,7 @@
 // Health takes the result of a health check of an ejected backend server.
 func (d *Detector) Health(now time.Duration, address string, ok bool) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	s := (*d.servers.Load())[address]
 	if s == nil || s.state != Ejected || ok {
 		return
@@ -348,6 +381,21 @@
 	return info, true
 }
 
+// note records an event once the mutex is free.
+func (d *Detector) note(e *events.Event, fields ...events.Field) {
+	d.pending = append(d.pending, pendingEvent{e, fields})
+}
+
+// unlock frees the mutex and records what note has gathered.
+func (d *Detector) unlock() {
+	pending := d.pending
+	d.pending = nil
+	d.mu.Unlock()
+	for _, p := range pending {
+		d.rec.Record(p.event, p.fields...)
+	}
+}
+
 func (d *Detector) isDraining(now time.Duration, s *server) bool {
 	return s.drained && now < s.drain.Seen+dynamic.MS(d.settings.DrainHoldMS)
 }
@@ -388,29 +436,30 @@
 func (d *Detector) enter(now time.Duration, s *server, to State, reason string) {
 	from := s.state
 	s.state, s.reason, s.since, s.blocked = to, reason, now, false
+	s.failing, s.slow = condition{}, condition{}
 	address, why := events.F("address", s.address), events.F("reason", reason)
 	switch to {
 	case Draining:
-		d.rec.Record(eventDraining, address, events.F("source", s.drain.Source))
+		d.note(eventDraining, address, events.F("source", s.drain.Source))
 	case Ejected:
 		length := min(dynamic.MS(d.settings.EjectMS)<<min(s.ejections, 16), dynamic.MS(d.settings.MaxEjectMS))
 		s.until, s.forgiven = now+length, now
 		s.ejections++
 		sum := s.window.sum(now)
-		d.rec.Record(eventEjected, address, why, events.F("for_ms", length.Milliseconds()),
+		d.note(eventEjected, address, why, events.F("for_ms", length.Milliseconds()),
 			events.F("attempts", sum.attempts), events.F("errors", sum.errors), events.F("latency_ms", sum.mean().Milliseconds()))
 	case SlowStart:
 		s.until = now + dynamic.MS(d.settings.SlowStartMS)
 		switch from {
 		case Draining:
-			d.rec.Record(eventDrained, address, why)
+			d.note(eventDrained, address, why)
 		case Ejected:
-			d.rec.Record(eventReadmitted, address, why)
+			d.note(eventReadmitted, address, why)
 		case Healthy, SlowStart:
-			d.rec.Record(eventNew, address, why)
+			d.note(eventNew, address, why)
 		}
 	case Healthy:
-		d.rec.Record(eventHealthy, address, why)
+		d.note(eventHealthy, address, why)
 	}
 }
 
@@ -435,7 +484,7 @@
 // and Update; the caller applies the weights.
 func (d *Detector) Sweep(now time.Duration) []Change {
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	defer d.unlock()
 	for _, s := range d.order {
 		d.advance(now, s)
 	}
@@ -479,12 +528,13 @@
 		if s.state != Healthy && s.state != SlowStart {
 			continue
 		}
-		if sum := s.window.sum(now); int(sum.attempts) >= d.settings.MinRequests {
-			d.scratch = append(d.scratch, judged{s: s, tally: sum})
-		}
+		n := int32(d.settings.MinRequests)
+		d.scratch = append(d.scratch, judged{
+			s: s, errors: s.window.recent(now, n, buckets, false), timed: s.window.recent(now, n, latencyBuckets, true),
+		})
 	}
-	d.scoreErrors()
-	d.scoreLatency()
+	d.scoreErrors(now)
+	d.scoreLatency(now)
 	slices.SortStableFunc(d.scratch, func(a, b judged) int { return cmp.Compare(b.score, a.score) })
 	allowed, ejected := d.bound()
 	for _, j := range d.scratch {
@@ -496,45 +546,51 @@
 			d.enter(now, j.s, Ejected, j.why)
 		} else if !j.s.blocked {
 			j.s.blocked = true
-			d.rec.Record(eventNotEjected, events.F("address", j.s.address), events.F("reason", j.why), events.F("ejected", ejected))
+			d.note(eventNotEjected, events.F("address", j.s.address), events.F("reason", j.why), events.F("ejected", ejected))
 		}
 	}
 }
 
 // scoreErrors scores by the share of errors. Errors weigh more than latency, so
 // that failing servers are ejected before slow ones.
-func (d *Detector) scoreErrors() {
+func (d *Detector) scoreErrors(now time.Duration) {
 	for i := range d.scratch {
-		ratio := d.scratch[i].tally.errorRatio()
-		if ratio < d.settings.ErrorRatio {
-			continue
-		}
-		others := d.medianOf(i, func(j *judged) float64 { return j.tally.errorRatio() })
-		if ratio >= 2*others {
-			d.scratch[i].score, d.scratch[i].why = 1e6+ratio, ReasonErrors
+		j := &d.scratch[i]
+		ratio := j.errors.errorRatio()
+		failing := d.hasErrors(j) && ratio >= d.settings.ErrorRatio &&
+			ratio >= 2*d.medianOf(i, d.hasErrors, func(j *judged) float64 { return j.errors.errorRatio() })
+		if j.s.failing.lasts(now, failing, failingFor) {
+			j.score, j.why = 1e6+ratio, ReasonErrors
 		}
 	}
 }
 
-func (d *Detector) scoreLatency() {
-	if len(d.scratch) < minJudged {
-		return
-	}
-	median := d.medianOf(-1, func(j *judged) float64 { return float64(j.tally.mean()) })
+// hasErrors reports whether there are enough attempts for a share of errors.
+func (d *Detector) hasErrors(j *judged) bool { return int(j.errors.attempts) >= d.settings.MinRequests }
+
+// hasLatency reports whether there are enough latencies for a mean.
+func (d *Detector) hasLatency(j *judged) bool { return int(j.timed.timed) >= d.settings.MinRequests }
+
+func (d *Detector) scoreLatency(now time.Duration) {
+	median := d.medianOf(-1, d.hasLatency, func(j *judged) float64 { return float64(j.timed.mean()) })
 	limit := max(median*d.settings.LatencyFactor, median+float64(minLatencyGap))
+	enough := len(d.values) >= minJudged
 	for i := range d.scratch {
 		j := &d.scratch[i]
-		if mean := float64(j.tally.mean()); j.score == 0 && mean > limit {
+		mean := float64(j.timed.mean())
+		slow := enough && d.hasLatency(j) && mean > limit
+		if j.s.slow.lasts(now, slow, slowFor) && j.score == 0 {
 			j.score, j.why = mean/limit, ReasonLatency
 		}
 	}
 }
 
-// medianOf returns the lower median of a value over all judged servers but one.
-func (d *Detector) medianOf(except int, value func(*judged) float64) float64 {
+// medianOf returns the lower median of a value over the servers that has admits,
+// but for one.
+func (d *Detector) medianOf(except int, has func(*judged) bool, value func(*judged) float64) float64 {
 	d.values = d.values[:0]
 	for i := range d.scratch {
-		if i != except {
+		if i != except && has(&d.scratch[i]) {
 			d.values = append(d.values, value(&d.scratch[i]))
 		}
 	}
