--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -61,7 +61,7 @@
 	Policy               string  `json:"policy"`               // default lentilpin
 	Choices              int     `json:"choices"`              // default 3; candidates of one decision
 	ReportMaxAgeMS       int     `json:"reportMaxAgeMs"`       // default 100; an older report is worth a probe
-	CrossDomainPenaltyMS float64 `json:"crossDomainPenaltyMs"` // default 10; price of leaving the failure domain
+	CrossDomainPenaltyMS float64 `json:"crossDomainPenaltyMs"` // default 3; price of leaving the failure domain, besides its delay
 }
 
 // Measuring is the budget for load probes, summed over all instances.
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -122,7 +122,7 @@
 	c.verified = append(c.verified, done)
 	c.g.background.Go(func() {
 		defer close(done)
-		c.svc.probe(context.Background(), server)
+		c.svc.checkAlive(server)
 		if c.svc.quarantine.Blocked(c.g.now(), c.print) {
 			c.svc.notify()
 		}
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -58,6 +58,7 @@
 		s.sweep()
 		s.budgets.Suspend(suspended)
 		if isSlowRound {
+			s.budgets.Report(s.now(), g.o.Recorder, s.name)
 			s.retries.Report(g.o.Recorder, s.name)
 		}
 		if !idle {
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -22,20 +22,31 @@
 
 // probe asks one backend server for its load.
 func (s *service) probe(ctx context.Context, server *routing.Server) {
+	if signals, ok := s.ask(ctx, server, loadPath); ok && signals.HasReport {
+		s.set.Probed(s.now(), server, signals.Report)
+	}
+}
+
+// checkAlive asks whether a backend server accepts requests. It follows a broken
+// connection, so that its number is bounded by that of failed attempts; it is
+// no measurement of load and draws on no probe budget.
+func (s *service) checkAlive(server *routing.Server) {
+	s.ask(context.Background(), server, healthPath)
+}
+
+func (s *service) ask(ctx context.Context, server *routing.Server, path string) (transport.Signals, bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	resp, fail := s.pool.Do(ctx, server.Address(), &transport.Request{
-		Method: http.MethodGet, Target: loadPath, Host: server.Address(), Idempotent: true,
+		Method: http.MethodGet, Target: path, Host: server.Address(), Idempotent: true,
 	})
 	if fail != nil {
 		s.noteDial(server, fail)
-		return
+		return transport.Signals{}, false
 	}
 	_ = resp.Body.Close()
-	if resp.Signals.HasReport {
-		s.set.Probed(s.now(), server, resp.Signals.Report)
-	}
 	s.observe(server, resp.Signals)
+	return resp.Signals, true
 }
 
 // noteDial tells the quarantine list of a backend server that accepts no
@@ -46,5 +57,8 @@
 	}
 }
 
-// loadPath is where a backend server reports its load.
-const loadPath = "/load"
+// Paths of a backend server besides those of its service.
+const (
+	loadPath   = "/load"
+	healthPath = "/health"
+)
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -150,6 +150,7 @@
 	if a.resp != nil {
 		_ = a.resp.Body.Close()
 	}
+	rd.svc.hedgeDelay.Record(a.latency)
 	rd.end(a, o)
 }
 
@@ -183,6 +184,9 @@
 			if a.resp != nil {
 				_ = a.resp.Body.Close()
 			}
+			// Without the losers the percentile would be that of the winners
+			// and hedges would begin ever earlier.
+			c.svc.hedgeDelay.Record(a.latency)
 			c.end(a, routing.Canceled)
 		}
 	})
--- a/pkg/gateway/source.go
+++ b/pkg/gateway/source.go
@@ -3,9 +3,7 @@
 import (
 	"time"
 
-	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/peer/peerpb"
-	"lentilpin/pkg/routing"
 )
 
 // Source is what this entry shares with its peers and learns from them. It
@@ -41,26 +39,9 @@
 	return out
 }
 
-// Reports implements membership.Source.
-func (s *Source) Reports() []*peerpb.LoadReport {
-	var out []*peerpb.LoadReport
-	now := s.g.now()
-	for _, svc := range s.g.services.Load().list {
-		maxAge := dynamic.MS(svc.settings.Load().Routing.ReportMaxAgeMS)
-		for _, r := range svc.set.Reports(now, maxAge) {
-			out = append(out, &peerpb.LoadReport{
-				Service: svc.name, Address: r.Address,
-				Inflight: uint32(r.Report.Inflight), Queued: uint32(r.Report.Queued), Slots: uint32(r.Report.Slots),
-				LatencyMs: float32(r.Report.Latency.Seconds() * 1000), AgeMs: uint32(r.Age.Milliseconds()),
-			})
-		}
-	}
-	return out
-}
-
 // Merge implements membership.Source. What concerns an unknown service is
 // dropped: the sender may have newer settings.
-func (s *Source) Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine, reports []*peerpb.LoadReport) {
+func (s *Source) Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine) {
 	now := s.g.now()
 	services := s.g.services.Load().byName
 	for _, d := range drains {
@@ -74,17 +55,6 @@
 			svc.quarantine.Merge(now, q.GetFingerprint(), ms(q.GetRemainingMs()))
 		}
 	}
-	for _, r := range reports {
-		if svc := services[r.GetService()]; svc != nil {
-			svc.set.Merge(now, routing.SharedReport{
-				Address: r.GetAddress(), Age: ms(r.GetAgeMs()),
-				Report: routing.Report{
-					Inflight: int32(r.GetInflight()), Queued: int32(r.GetQueued()), Slots: int32(r.GetSlots()),
-					Latency: time.Duration(float64(r.GetLatencyMs()) * float64(time.Millisecond)),
-				},
-			})
-		}
-	}
 }
 
 func ms(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -20,16 +20,12 @@
 type Source interface {
 	Drains() []*peerpb.DrainMark
 	Quarantines() []*peerpb.Quarantine
-	// Reports returns own fresh load reports. They are sent within the failure
-	// domain only, since bytes between failure domains cost more and a report
-	// is stale soon.
-	Reports() []*peerpb.LoadReport
 	// Merge takes what a peer sent. Ages do not include the way of the message.
-	Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine, reports []*peerpb.LoadReport)
+	Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine)
 }
 
 // cursors are the positions of the rotation, one per kind.
-type cursors struct{ drains, quarantines, reports, members int }
+type cursors struct{ drains, quarantines, members int }
 
 // take returns elements from the position on until the allowance is used up.
 func take[M proto.Message](items []M, cursor, allowance *int) []M {
@@ -65,18 +61,13 @@
 type shared struct {
 	drains      []*peerpb.DrainMark
 	quarantines []*peerpb.Quarantine
-	reports     []*peerpb.LoadReport
 }
 
-func (t *Table) readSource(sameDomain bool) shared {
+func (t *Table) readSource() shared {
 	if t.o.Source == nil {
 		return shared{}
 	}
-	s := shared{drains: t.o.Source.Drains(), quarantines: t.o.Source.Quarantines()}
-	if sameDomain {
-		s.reports = t.o.Source.Reports()
-	}
-	return s
+	return shared{drains: t.o.Source.Drains(), quarantines: t.o.Source.Quarantines()}
 }
 
 // compose fills a message. Drain marks and quarantined fingerprints come
@@ -96,7 +87,6 @@
 		m.Drains = takeShare(s.drains, &t.cursor.drains, &allowance, 4)
 		m.Quarantines = takeShare(s.quarantines, &t.cursor.quarantines, &allowance, 4)
 		m.Members = append(m.Members, t.freshMembers(now, &allowance)...)
-		m.Reports = takeShare(s.reports, &t.cursor.reports, &allowance, 2)
 		m.Members = append(m.Members, t.rotateMembers(now, &allowance)...)
 	}
 	size := proto.Size(m)
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -30,12 +30,6 @@
 	return out
 }
 
-func (t *Table) domainOf(address string) string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.peers()[address]
-}
-
 // choosePeer returns a random peer in the own failure domain or in another
 // one, or any peer where there is none such.
 func (t *Table) choosePeer(own bool) string {
--- a/pkg/membership/records.go
+++ b/pkg/membership/records.go
@@ -159,16 +159,43 @@
 	return out
 }
 
-// Successor returns the peer address that took over the ledger of an
-// incarnation, empty if none is known. The address is that of the incarnation
-// itself and is ignored, because an incarnation is unique.
+// maxHandovers bounds the chain of successors that is followed.
+const maxHandovers = 16
+
+// Successor returns the peer address that holds the ledger of an incarnation
+// now, empty if none is known: the successor may have handed it on. The address
+// is that of the incarnation itself and is ignored, because an incarnation is
+// unique. A wrong holder refuses the claim, so that a chain that leads astray
+// costs an unknown result only.
 func (t *Table) Successor(_ string, incarnation uint64) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.records[incarnation]; r != nil {
-		return r.member.Successor
+	r := t.records[incarnation]
+	for range maxHandovers {
+		if r == nil {
+			return ""
+		}
+		next := t.handedOn(r)
+		if next == nil {
+			return r.member.Successor
+		}
+		r = next
+	}
+	return r.member.Successor
+}
+
+// handedOn returns the record of r's successor if that has handed over in turn,
+// later than r did.
+func (t *Table) handedOn(r *record) *record {
+	if r.member.Successor == "" {
+		return nil
+	}
+	for _, next := range t.order {
+		if next != r && next.member.Address == r.member.Successor && next.member.Successor != "" && next.heard >= r.heard {
+			return next
+		}
 	}
-	return ""
+	return nil
 }
 
 // OrdinalConflict reports whether another instance that is not known to have
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -222,8 +222,8 @@
 // HandleExchange serves a peer's Exchange.
 func (t *Table) HandleExchange(in *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	sender := t.sender(in)
-	s := t.readSource(sender != nil && sender.FailureDomain == t.o.Self.FailureDomain)
-	t.mergeSource(in.Drains, in.Quarantines, in.Reports)
+	s := t.readSource()
+	t.mergeSource(in.Drains, in.Quarantines)
 	t.mu.Lock()
 	t.stats.Served++
 	t.stats.BytesReceived += uint64(proto.Size(in))
@@ -238,7 +238,7 @@
 		}
 	}
 	return &peerpb.ExchangeResponse{
-		Header: out.Header, Members: out.Members, Drains: out.Drains, Quarantines: out.Quarantines, Reports: out.Reports,
+		Header: out.Header, Members: out.Members, Drains: out.Drains, Quarantines: out.Quarantines,
 	}
 }
 
@@ -252,9 +252,9 @@
 	return nil
 }
 
-func (t *Table) mergeSource(d []*peerpb.DrainMark, q []*peerpb.Quarantine, r []*peerpb.LoadReport) {
-	if t.o.Source != nil && len(d)+len(q)+len(r) > 0 {
-		t.o.Source.Merge(d, q, r)
+func (t *Table) mergeSource(d []*peerpb.DrainMark, q []*peerpb.Quarantine) {
+	if t.o.Source != nil && len(d)+len(q) > 0 {
+		t.o.Source.Merge(d, q)
 	}
 }
 
@@ -366,7 +366,7 @@
 
 func (t *Table) exchange(ctx context.Context, address string, small bool, timeout time.Duration) {
 	epoch := t.o.Store.Epoch()
-	s := t.readSource(t.domainOf(address) == t.o.Self.FailureDomain)
+	s := t.readSource()
 	t.mu.Lock()
 	t.stats.Started++
 	in := t.compose(t.now(), s, small)
@@ -387,7 +387,7 @@
 	t.merge(now, out.Members)
 	t.met(address, out.GetHeader().GetIncarnation())
 	t.mu.Unlock()
-	t.mergeSource(out.Drains, out.Quarantines, out.Reports)
+	t.mergeSource(out.Drains, out.Quarantines)
 	if t.wanted(out.Header, address) {
 		t.fetch(ctx, t.fetchRepliers, address, out.Header.Version)
 	}
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -258,31 +258,3 @@
 		l.Probed(now, x, r)
 	}
 }
-
-// SharedReport is a load report passed on to another instance.
-type SharedReport struct {
-	Address string
-	Report  Report
-	Age     time.Duration
-}
-
-// Reports returns the reports that are at most maxAge old, for the exchange
-// between instances. It allocates and is not part of a decision.
-func (s *Set) Reports(now, maxAge time.Duration) []SharedReport {
-	servers := s.Servers()
-	out := make([]SharedReport, 0, len(servers))
-	for _, x := range servers {
-		if r, age, ok := x.Reported(now); ok && age <= maxAge {
-			out = append(out, SharedReport{Address: x.Address(), Report: r, Age: age})
-		}
-	}
-	return out
-}
-
-// Merge takes a report from another instance. A report of an unknown backend
-// server or one older than the own report is ignored.
-func (s *Set) Merge(now time.Duration, r SharedReport) {
-	if x := s.Server(r.Address); x != nil {
-		x.Observe(now, r.Report, r.Age)
-	}
-}
