--- a/pkg/entry/bench_test.go
+++ b/pkg/entry/bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"lentilpin/standin/backend"
 )
 
@@ -18,7 +20,9 @@
 	defer client.CloseIdleConnections()
 	url := "http://" + address + "/shop/items/1"
 	b.ReportAllocs()
+	latency := hdrhistogram.New(1, int64(time.Minute), 3)
 	for b.Loop() {
+		start := time.Now()
 		resp, err := client.Get(url)
 		if err != nil {
 			b.Fatal(err)
@@ -28,7 +32,11 @@
 		if resp.StatusCode != http.StatusOK {
 			b.Fatal(resp.Status)
 		}
+		_ = latency.RecordValue(int64(time.Since(start)))
 	}
+	b.ReportMetric(float64(latency.ValueAtPercentile(50))/1e6, "p50-ms")
+	b.ReportMetric(float64(latency.ValueAtPercentile(99))/1e6, "p99-ms")
+	b.ReportMetric(float64(latency.ValueAtPercentile(99.9))/1e6, "p999-ms")
 }
 
 func BenchmarkReadDirect(b *testing.B) {
