--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -58,13 +58,19 @@
 
 type incident struct {
 	start, last time.Duration
-	onset       [maxOnset]uint64 // fingerprints that broke early
+	onset       [maxOnset]breakage // those that broke early
 	count       int
 	first       uint64 // the first fingerprint, to tell it from others
 	broke       bool   // first is set
 	confirmed   bool   // something else failed as well
 }
 
+// breakage is one broken attempt.
+type breakage struct {
+	fingerprint uint64
+	at          time.Duration
+}
+
 type blame struct {
 	address string
 	at      time.Duration
@@ -167,8 +173,12 @@
 	} else if fp != in.first {
 		in.confirmed = true
 	}
-	if now-in.start <= incidentOnset && in.count < maxOnset && !slices.Contains(in.onset[:in.count], fp) {
-		in.onset[in.count] = fp
+	known := slices.IndexFunc(in.onset[:in.count], func(b breakage) bool { return b.fingerprint == fp })
+	switch {
+	case known >= 0:
+		in.onset[known].at = now
+	case now-in.start <= incidentOnset && in.count < maxOnset:
+		in.onset[in.count] = breakage{fp, now}
 		in.count++
 	}
 	l.settle(now, address, in)
@@ -277,15 +287,16 @@
 	if !in.confirmed {
 		return
 	}
-	for _, fp := range in.onset[:in.count] {
-		l.blame(now, fp, address)
+	for _, b := range in.onset[:in.count] {
+		l.blame(now, b, address)
 	}
 	in.count = 0
 }
 
-func (l *List) blame(now time.Duration, fp uint64, address string) {
+func (l *List) blame(now time.Duration, broken breakage, address string) {
+	fp := broken.fingerprint
 	if q, ok := l.held[fp]; ok && now < q.until+dynamic.MS(l.settings.DurationMS) {
-		l.blameAgain(now, fp, address, q)
+		l.blameAgain(now, broken, address, q)
 		return
 	}
 	oldest := now - dynamic.MS(l.settings.DurationMS)
@@ -310,9 +321,11 @@
 }
 
 // blameAgain puts a fingerprint whose trial failed back for the whole duration.
-// Breaks while it is refused come from attempts that began before.
-func (l *List) blameAgain(now time.Duration, fp uint64, address string, q quarantined) {
-	if now < q.until {
+// Breaks before the probation come from attempts that began earlier, also where
+// they are confirmed in the probation.
+func (l *List) blameAgain(now time.Duration, broken breakage, address string, q quarantined) {
+	fp := broken.fingerprint
+	if broken.at < q.until {
 		return
 	}
 	duration := dynamic.MS(l.settings.DurationMS)
