--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -21,7 +21,7 @@
 // backendsPerService is the users' planned mean: 15,000 over 790 services.
 const backendsPerService = 19
 
-func newSizedGateway(b *testing.B, services int) *Gateway {
+func newSizedGateway(b *testing.B, services, ceiling int) *Gateway {
 	var nodes []string
 	var list []platform.Instance
 	for i := range services {
@@ -43,7 +43,7 @@
 		Recorder: events.Discard{}, Scope: tally.NoopScope,
 		OrdinalConflict: func() bool { return true }, Notify: func() {}, Ready: func() (bool, string) { return true, "" },
 	})
-	tree := `{"version": 1, "regions": {"r": {"services": {` + strings.Join(nodes, ",") + `}}}}`
+	tree := fmt.Sprintf(`{"version": 1, "fleet": {"defaults": {"instanceCeiling": %d}}, "regions": {"r": {"services": {%s}}}}`, ceiling, strings.Join(nodes, ","))
 	if r := store.Offer([]byte(tree), "bench"); r != settings.Adopted {
 		b.Fatal(r)
 	}
@@ -54,33 +54,39 @@
 // BenchmarkServices gives the slopes of docs/CAPACITY.md: memory of one entry
 // by services, and the time of the periodic loops.
 func BenchmarkServices(b *testing.B) {
-	for _, services := range []int{80, 240, 790} {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		g := newSizedGateway(b, services)
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		heap := float64(after.HeapAlloc - before.HeapAlloc)
-		b.Run(fmt.Sprintf("second-idle/services=%d", services), func(b *testing.B) {
-			benchmarkSecond(b, g, func() {})
-			b.ReportMetric(heap/1e6, "heap-MB")
-		})
-		b.Run(fmt.Sprintf("second-busy/services=%d", services), func(b *testing.B) {
-			benchmarkSecond(b, g, func() {
-				for _, s := range g.services.Load().list {
-					s.lastUse.Store(int64(s.now()))
-				}
-			})
-		})
-		b.Run(fmt.Sprintf("share/services=%d", services), func(b *testing.B) {
-			src := g.Source()
-			for b.Loop() {
-				_, _ = src.Drains(), src.Quarantines()
+	for _, ceiling := range []int{40, 600} {
+		for _, services := range []int{80, 240, 790} {
+			benchmarkServices(b, services, ceiling)
+		}
+	}
+}
+
+func benchmarkServices(b *testing.B, services, ceiling int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	g := newSizedGateway(b, services, ceiling)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	heap := float64(after.HeapAlloc - before.HeapAlloc)
+	b.Run(fmt.Sprintf("second-idle/entries=%d/services=%d", ceiling, services), func(b *testing.B) {
+		benchmarkSecond(b, g, func() {})
+		b.ReportMetric(heap/1e6, "heap-MB")
+	})
+	b.Run(fmt.Sprintf("second-busy/entries=%d/services=%d", ceiling, services), func(b *testing.B) {
+		benchmarkSecond(b, g, func() {
+			for _, s := range g.services.Load().list {
+				s.lastUse.Store(int64(s.now()))
 			}
 		})
-		g.Close()
-	}
+	})
+	b.Run(fmt.Sprintf("share/entries=%d/services=%d", ceiling, services), func(b *testing.B) {
+		src := g.Source()
+		for b.Loop() {
+			_, _ = src.Drains(), src.Quarantines()
+		}
+	})
+	g.Close()
 }
 
 // benchmarkSecond runs the periodic work of one second.
