--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lentilpin/pkg/audit"
+	"lentilpin/pkg/operator"
 	"lentilpin/standin/backend"
 )
 
@@ -197,3 +199,15 @@
 	}
 	require.Equal(t, http.StatusNotFound, c.get(c.callers(0), "/v1/instances").status)
 }
+
+// Guards against an ejected backend server that is never asked for its health.
+func TestEjectedServerIsAsked(t *testing.T) {
+	c := newCluster(t, 1, fast(), fast(), fast(), fast())
+	c.backends[0].SetFaults(backend.Faults{FailRatio: 1, Health: http.StatusServiceUnavailable})
+	c.await("the failing backend server is ejected", func() bool {
+		c.get(c.callers(0), "/shop/items/1")
+		list, _ := c.entries[0].gateway.Backends("shop")
+		return slices.ContainsFunc(list, func(b operator.Backend) bool { return b.State == "ejected" })
+	})
+	c.await("it is asked", func() bool { return c.backends[0].Stats().HealthChecks > 0 })
+}
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -60,6 +60,7 @@
 		if isSlowRound {
 			s.budgets.Report(s.now(), g.o.Recorder, s.name)
 			s.retries.Report(g.o.Recorder, s.name)
+			s.checkEjected(ctx, probes)
 		}
 		if !idle {
 			s.sendProbes(ctx, probes)
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/outlier"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/transport"
 )
@@ -22,7 +24,7 @@
 
 // probe asks one backend server for its load.
 func (s *service) probe(ctx context.Context, server *routing.Server) {
-	if signals, ok := s.ask(ctx, server, loadPath); ok && signals.HasReport {
+	if _, signals := s.ask(ctx, server, loadPath); signals.HasReport {
 		s.set.Probed(s.now(), server, signals.Report)
 	}
 }
@@ -34,7 +36,28 @@
 	s.ask(context.Background(), server, healthPath)
 }
 
-func (s *service) ask(ctx context.Context, server *routing.Server, path string) (transport.Signals, bool) {
+// checkEjected asks the ejected backend servers for their health, each once in
+// healthPeriodMs. One that says it is ill stays ejected for longer; one that
+// says it is well is not believed before its time is over.
+func (s *service) checkEjected(ctx context.Context, running *sync.WaitGroup) {
+	now := s.now()
+	if now < s.nextHealth {
+		return
+	}
+	s.nextHealth = now + dynamic.MS(s.settings.Load().Outlier.HealthPeriodMS)
+	for _, server := range s.set.Servers() {
+		if info, ok := s.outliers.Info(now, server.Address()); !ok || info.State != outlier.Ejected {
+			continue
+		}
+		running.Go(func() {
+			status, _ := s.ask(ctx, server, healthPath)
+			s.outliers.Health(s.now(), server.Address(), status == http.StatusOK)
+		})
+	}
+}
+
+// ask sends a request of the entry's own. The status is 0 without a response.
+func (s *service) ask(ctx context.Context, server *routing.Server, path string) (status int, signals transport.Signals) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	resp, fail := s.pool.Do(ctx, server.Address(), &transport.Request{
@@ -42,11 +65,11 @@
 	})
 	if fail != nil {
 		s.noteDial(server, fail)
-		return transport.Signals{}, false
+		return 0, transport.Signals{}
 	}
 	_ = resp.Body.Close()
 	s.observe(server, resp.Signals)
-	return resp.Signals, true
+	return resp.Status, resp.Signals
 }
 
 // noteDial tells the quarantine list of a backend server that accepts no
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -35,8 +35,9 @@
 	budgets    *measure.Budgets
 	prober     *measure.Prober
 
-	notify  func()
-	lastUse atomic.Int64 // time of the last attempt
+	notify     func()
+	nextHealth time.Duration // used by the loop only
+	lastUse    atomic.Int64  // time of the last attempt
 
 	limitsMu sync.Mutex
 	limits   map[*routing.Server]*limit.Concurrency
