--- a/scripts/load.sh
+++ b/scripts/load.sh
@@ -27,7 +27,7 @@
 echo "[$instances]" >"$out/instances.json"
 sed -e 's/72\(1[0-2]\)/74\1/g; s/7200/7400/' demo/entry-1.json | sed -e '/seedPeers/,/\]/d' >"$out/entry.json"
 
-bin/standin-backend "${list[@]}" --admin 127.0.0.1:7490 --slots 64 --service-time const:1 >"$out/backends.log" 2>&1 &
+bin/standin-backend "${list[@]}" --admin 127.0.0.1:7490 --slots 64 --service-time "${SERVICE_TIME:-const:1}" >"$out/backends.log" 2>&1 &
 pids+=($!)
 bin/standin-platform --read 127.0.0.1:7400 --admin 127.0.0.1:7401 --tree demo/tree.json --instances "$out/instances.json" >"$out/platform.log" 2>&1 &
 pids+=($!)
