--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -6,7 +6,7 @@
 import (
 	_ "embed"
 	"encoding/json"
-	"net"
+	"net/netip"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -102,7 +102,8 @@
 	for path, addr := range map[string]string{
 		"/listen/callers": s.Listen.Callers, "/listen/peers": s.Listen.Peers, "/listen/operators": s.Listen.Operators,
 	} {
-		if _, err := net.ResolveTCPAddr("tcp", addr); err != nil {
+		// Names are refused: the addresses are part of keys and of the exchange.
+		if _, err := netip.ParseAddrPort(addr); err != nil {
 			return nil, &schema.Error{Violations: []schema.Violation{{Path: path, Value: addr, Rule: err.Error()}}}
 		}
 	}
--- a/pkg/config/static/static_test.go
+++ b/pkg/config/static/static_test.go
@@ -26,6 +26,7 @@
 		{"unknown", `"ordinal":0`, `"ordinal":0,"ordinals":1`, "/ordinals: value 1: unknown member"},
 		{"out of range", `"ordinal":0`, `"ordinal":-1`, "/ordinal: value -1: "},
 		{"no IP number", `127.0.0.1:2`, `localhost:2`, "/listen/peers: value \"localhost:2\": "},
+		{"IP number out of range", `127.0.0.1:2`, `999.0.0.1:2`, "/listen/peers: value 999.0.0.1:2: "},
 		{"port out of range", `127.0.0.1:2`, `127.0.0.1:70000`, "/listen/peers: value 127.0.0.1:70000: "},
 		{"short secret", `0123456789abcdef0123456789abcdef`, `swordfish`, "/secrets/keySigning/0: value (secret): "},
 		{"secret of a wrong type", `"fedcba9876543210"`, `{"swordfish":1}`, "/secrets/operator: value (secret): "},
