--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -97,11 +97,11 @@
 	a.cancel()
 	c.svc.finish(a.server, a.latency, o)
 	if o == routing.Broken && !a.isNotRun() {
-		c.svc.quarantine.Broken(c.g.now(), c.print, a.server.Address())
+		c.svc.quarantine.Broken(c.g.now(), c.fingerprint, a.server.Address())
 		c.verify(a.server)
 	}
 	if o == routing.Success || o == routing.ErrorResponse {
-		c.svc.quarantine.Ran(c.g.now(), c.print)
+		c.svc.quarantine.Ran(c.g.now(), c.fingerprint)
 	}
 	if a.fail != nil {
 		c.svc.noteDial(a.server, a.fail)
@@ -123,7 +123,7 @@
 	c.g.background.Go(func() {
 		defer close(done)
 		c.svc.checkAlive(server)
-		if c.svc.quarantine.Blocked(c.g.now(), c.print) {
+		if c.svc.quarantine.Blocked(c.g.now(), c.fingerprint) {
 			c.svc.notify()
 		}
 	})
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -108,7 +108,7 @@
 		return rd.expired(), true
 	}
 	rd.awaitVerified(rd.ctx)
-	if rd.svc.quarantine.Blocked(rd.g.now(), rd.print) {
+	if rd.svc.quarantine.Blocked(rd.g.now(), rd.fingerprint) {
 		return rd.quarantined(a), true
 	}
 	if rd.mayRetry() {
@@ -177,7 +177,7 @@
 			Result: outcomeWords[routing.Canceled],
 		})
 	}
-	c := &call{g: rd.g, svc: rd.svc, settings: rd.settings, started: rd.call.started, print: rd.print}
+	c := &call{g: rd.g, svc: rd.svc, settings: rd.settings, started: rd.call.started, fingerprint: rd.fingerprint}
 	rd.g.background.Go(func() {
 		for range left {
 			a := <-rd.results
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -26,19 +26,19 @@
 
 // call is one request of a caller on its way through the gateway.
 type call struct {
-	g        *Gateway
-	w        http.ResponseWriter
-	r        *http.Request
-	id       string
-	started  time.Time
-	svc      *service
-	settings *dynamic.Service // one snapshot for the whole request
-	deadline time.Time
-	target   string // path and query as sent to the backend server
-	body     []byte
-	print    uint64 // fingerprint for the quarantine list
-	rec      audit.Record
-	verified []chan struct{} // checks of backend servers that broke connections
+	g           *Gateway
+	w           http.ResponseWriter
+	r           *http.Request
+	id          string
+	started     time.Time
+	svc         *service
+	settings    *dynamic.Service // one snapshot for the whole request
+	deadline    time.Time
+	target      string // path and query as sent to the backend server
+	body        []byte
+	fingerprint uint64 // for the quarantine list
+	rec         audit.Record
+	verified    []chan struct{} // checks of backend servers that broke connections
 }
 
 // serve takes one request from acceptance to its only outcome.
@@ -149,8 +149,8 @@
 		return res, false
 	}
 	c.announce()
-	c.print = quarantine.Fingerprint(c.r.Method, c.target, c.body)
-	if c.svc.quarantine.Blocked(c.g.now(), c.print) {
+	c.fingerprint = quarantine.Fingerprint(c.r.Method, c.target, c.body)
+	if c.svc.quarantine.Blocked(c.g.now(), c.fingerprint) {
 		return c.refuseUnclaimed(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"), false
 	}
 	return result{}, true
