--- a/pkg/measure/budget.go
+++ b/pkg/measure/budget.go
@@ -100,9 +100,8 @@
 	mu               sync.Mutex
 	suspended        bool
 	refused          uint64 // probes that were wanted and not granted
-	reported         uint64 // refused at the last judgement of Report
+	exhaustion       events.Exhaustion
 	judged           time.Duration
-	exhausted        bool
 }
 
 // NewBudgets returns the shares of an instance.
@@ -159,16 +158,11 @@
 		b.mu.Unlock()
 		return
 	}
-	count := b.refused - b.reported
-	b.judged, b.reported = now, b.refused
-	changed := (count > 0) != b.exhausted
-	b.exhausted = count > 0
+	b.judged = now
+	count, changed := b.exhaustion.Update(b.refused)
 	b.mu.Unlock()
-	switch {
-	case changed && count > 0:
-		rec.Record(eventExhausted, events.F("service", service), events.F("refused", count))
-	case changed:
-		rec.Record(eventRecovered, events.F("service", service))
+	if changed {
+		events.RecordExhaustion(rec, eventExhausted, eventRecovered, service, count)
 	}
 }
 
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -18,14 +18,13 @@
 
 // Budget bounds the extra attempts of one service at this instance.
 type Budget struct {
-	mu        sync.Mutex
-	ratio     float64
-	perSecond float64
-	tokens    float64
-	last      time.Duration
-	refused   uint64
-	reported  uint64
-	exhausted bool
+	mu         sync.Mutex
+	ratio      float64
+	perSecond  float64
+	tokens     float64
+	last       time.Duration
+	refused    uint64
+	exhaustion events.Exhaustion
 }
 
 // NewBudget returns a budget of ratio extra attempts per first attempt (setting
@@ -85,16 +84,10 @@
 // the last call. The gateway calls it about once a second.
 func (b *Budget) Report(rec events.Recorder, service string) {
 	b.mu.Lock()
-	count := b.refused - b.reported
-	b.reported = b.refused
-	changed := (count > 0) != b.exhausted
-	b.exhausted = count > 0
+	count, changed := b.exhaustion.Update(b.refused)
 	b.mu.Unlock()
-	switch {
-	case changed && count > 0:
-		rec.Record(eventExhausted, events.F("service", service), events.F("refused", count))
-	case changed:
-		rec.Record(eventRecovered, events.F("service", service))
+	if changed {
+		events.RecordExhaustion(rec, eventExhausted, eventRecovered, service, count)
 	}
 }
 
