--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -8,12 +8,15 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/go-faster/errors"
 	"github.com/integrii/flaggy"
 	"github.com/sirupsen/logrus"
 
 	"lentilpin/pkg/buildinfo"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/entry"
+	"lentilpin/pkg/events"
+	"lentilpin/platform"
 )
 
 func main() {
@@ -26,11 +29,7 @@
 	flaggy.Bool(&checkOnly, "", "check", "check the settings file and exit")
 	flaggy.Parse()
 
-	if path == "" {
-		fmt.Fprintln(os.Stderr, "lentilpin-entry: no settings file given; use --settings FILE")
-		os.Exit(buildinfo.ExitUsage)
-	}
-	conf, err := static.Load(path)
+	conf, connect, err := load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitUsage)
@@ -38,15 +37,34 @@
 	if checkOnly {
 		return
 	}
-	if err := run(conf); err != nil {
+	if err := run(conf, connect); err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitFailure)
 	}
 }
 
+// load reads the settings file at path or, without one, the file that the users'
+// platform has prepared. connect is nil for the configuration service that the
+// settings name.
+func load(path string) (conf *static.Settings, connect func(events.Recorder) entry.Platform, err error) {
+	if path != "" {
+		conf, err = static.Load(path)
+		return conf, nil, err
+	}
+	prepared := platform.SettingsPath()
+	if prepared == "" {
+		return nil, nil, errors.New("no settings file given; use --settings FILE")
+	}
+	s, err := platform.LoadSettings(prepared)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s.Entry, func(rec events.Recorder) entry.Platform { return platform.NewClient(s, rec) }, nil
+}
+
 // run serves until the first signal asks for a graceful shutdown. The second
 // signal ends the process at once.
-func run(conf *static.Settings) error {
+func run(conf *static.Settings, connect func(events.Recorder) entry.Platform) error {
 	log := logrus.New()
 	level, err := logrus.ParseLevel(conf.LogLevel)
 	if err != nil {
@@ -59,6 +77,7 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		<-signals
 		cancel()
@@ -69,5 +88,8 @@
 	if err != nil {
 		return err
 	}
+	if connect != nil {
+		return entry.NewOn(conf, log, connect).Run(ctx, listeners)
+	}
 	return entry.New(conf, log).Run(ctx, listeners)
 }
--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -65,7 +65,7 @@
 	e := &entry{
 		bench: b, domain: domain, set: set,
 		budgets: measure.NewBudgets(0, s, ordinal),
-		retries: retry.NewBudget(s.Retry.BudgetRatio, s.Retry.MinPerSecond),
+		retries: retry.NewBudget(s.Retry),
 		hedge:   retry.NewHedgeDelay(s.Retry.HedgePercentile),
 		line:    limit.NewLine(s.Queue.MaxRequests, time.Duration(s.Queue.MaxWaitMS)*time.Millisecond),
 		heads:   map[*limit.Waiter]*request{},
--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -25,6 +25,8 @@
 	Outlier     Outlier     `json:"outlier"`
 	Quarantine  Quarantine  `json:"quarantine"`
 	Headers     Headers     `json:"headers"`
+	Responses   Responses   `json:"responses"`
+	Paths       Paths       `json:"paths"`
 }
 
 // Keys are the settings of idempotency keys.
@@ -39,6 +41,10 @@
 type Queue struct {
 	MaxRequests int `json:"maxRequests"` // default 256
 	MaxWaitMS   int `json:"maxWaitMs"`   // default 100
+	// AdaptiveLimit lowers the limit of attempts at a backend server when its
+	// latency grows; default true. False leaves it at the connections of one
+	// entry, for services whose load reports show how full a backend server is.
+	AdaptiveLimit bool `json:"adaptiveLimit"`
 }
 
 // Connections are the settings of connections to backend servers.
@@ -62,6 +68,10 @@
 	Choices              int     `json:"choices"`              // default 3; candidates of one decision
 	ReportMaxAgeMS       int     `json:"reportMaxAgeMs"`       // default 100; an older report is worth a probe
 	CrossDomainPenaltyMS float64 `json:"crossDomainPenaltyMs"` // default 3; price of leaving the failure domain, besides its delay
+	// CrossDomainPenaltyRatio is the same price for the policy fresh, as a share
+	// of the usual service time; default 0.6.
+	CrossDomainPenaltyRatio float64 `json:"crossDomainPenaltyRatio"`
+	MaxProbes               int     `json:"maxProbes"` // default 3; load probes before one decision of the policy fresh, per failure domain tried
 }
 
 // Measuring is the budget for load probes, summed over all instances.
@@ -77,6 +87,7 @@
 	MaxAttempts     int     `json:"maxAttempts"`     // default 3; first attempt included
 	BudgetRatio     float64 `json:"budgetRatio"`     // default 0.1; retries and hedges per request
 	MinPerSecond    float64 `json:"minPerSecond"`    // default 1; extra attempts of one instance at low load
+	Burst           int     `json:"burst"`           // default 10; most extra attempts at one moment
 	Hedge           bool    `json:"hedge"`           // default true
 	HedgePercentile float64 `json:"hedgePercentile"` // default 95; of the service's latency
 }
@@ -106,6 +117,41 @@
 	State      string `json:"state"`      // default Backend-State
 	Shed       string `json:"shed"`       // default Backend-Shed
 	Timeout    string `json:"timeout"`    // default Request-Timeout
+	// ShedValue is the value of the field Shed that proves that a request did not
+	// run, valid on a 503 only; default not-run. Empty: any value on any status.
+	ShedValue string `json:"shedValue"`
+	// Exchange names the field that identifies one request at the backend
+	// server; default Lentilpin-Exchange. A request that already carries it
+	// keeps its value.
+	Exchange string `json:"exchange"`
+	// ExpectInstance names the field with the identity that the backend server
+	// is expected to have; default empty, which sends none. A backend server
+	// with another identity refuses with 421 and does not run the request.
+	ExpectInstance string `json:"expectInstance"`
+	// Instance names the field in which a backend server states its identity
+	// on probes; default empty, which checks none.
+	Instance string `json:"instance"`
+	// Signature names the field that proves that a backend server made the
+	// response; default empty, which requires none.
+	Signature string `json:"signature"`
+}
+
+// Load report formats.
+const (
+	ReportORCA   = "orca"   // text form of the Open Request Cost Aggregation format
+	ReportCounts = "counts" // running, waiting, slots and, optionally, the slowdown in percent
+)
+
+// Responses are the settings of responses of backend servers.
+type Responses struct {
+	Unframed     bool   `json:"unframed"`     // default false; accept a body that ends with the connection
+	ReportFormat string `json:"reportFormat"` // default orca
+}
+
+// Paths are the paths at which a backend server answers the entry itself.
+type Paths struct {
+	Load   string `json:"load"`   // default /load; answers with a load report
+	Health string `json:"health"` // default /health; 200 or 503
 }
 
 // IsIdempotent reports whether requests with this method may be sent twice.
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -31,6 +31,9 @@
 	Digest  [sha256.Size]byte // of the text as published
 	Text    []byte
 
+	Routes  []Route // what callers may ask for; empty: the first path segment names the service
+	Callers Callers
+
 	services map[string]map[string]*Resolved // by region, then by service
 }
 
@@ -49,7 +52,9 @@
 }
 
 type document struct {
-	Version uint64 `json:"version"`
+	Version uint64  `json:"version"`
+	Routes  []Route `json:"routes"`
+	Callers Callers `json:"callers"`
 	Fleet   struct {
 		Defaults json.RawMessage `json:"defaults"`
 	} `json:"fleet"`
@@ -83,6 +88,8 @@
 		Version:  doc.Version,
 		Digest:   sha256.Sum256(text),
 		Text:     text,
+		Routes:   doc.Routes,
+		Callers:  doc.Callers,
 		services: map[string]map[string]*Resolved{},
 	}
 	fleet := base{}.with(level{BuiltIn, defaultsText}).with(level{"fleet", doc.Fleet.Defaults})
@@ -105,6 +112,7 @@
 			t.services[regionName][serviceName] = &resolved.Resolved
 		}
 	}
+	problems.Violations = append(problems.Violations, t.checkRoutes()...)
 	if len(problems.Violations) > 0 {
 		return nil, problems
 	}
--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -33,7 +33,10 @@
 	Limits        Limits   `json:"limits"`
 	Shutdown      Shutdown `json:"shutdown"`
 	OnUnconfirmed string   `json:"onUnconfirmed"` // default wait
-	LogLevel      string   `json:"logLevel"`      // default info
+	// PlatformConfirms says that reads of the configuration service are
+	// linearizable, so that one of them confirms a version; default false.
+	PlatformConfirms bool   `json:"platformConfirms"`
+	LogLevel         string `json:"logLevel"` // default info
 }
 
 // Listen are the addresses of the listeners, IP:port.
@@ -41,6 +44,8 @@
 	Callers   string `json:"callers"`
 	Peers     string `json:"peers"`
 	Operators string `json:"operators"`
+	Ready     string `json:"ready"`     // default empty, which opens none; answers the load balancer's question
+	ReadyPath string `json:"readyPath"` // default /readyz
 }
 
 // Secrets never reach a log or an error message.
@@ -67,9 +72,12 @@
 type Shutdown struct {
 	DrainMS int `json:"drainMs"` // default 2000; between losing readiness and closing the listener
 	GraceMS int `json:"graceMs"` // default 15000; for requests in flight
+	// HandOver gives the ledger of idempotency keys to a peer; default true.
+	HandOver bool `json:"handOver"`
 }
 
-func defaults() Settings {
+// Defaults returns the settings that hold where a file states none.
+func Defaults() Settings {
 	return Settings{
 		OnUnconfirmed: "wait",
 		LogLevel:      "info",
@@ -77,7 +85,8 @@
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
 			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, MaxTreeBytes: 1 << 20,
 		},
-		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000},
+		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
+		Listen:   Listen{ReadyPath: "/readyz"},
 	}
 }
 
@@ -95,7 +104,7 @@
 	if _, err := fileSchema.Check(text); err != nil {
 		return nil, err
 	}
-	s := defaults()
+	s := Defaults()
 	if err := json.Unmarshal(text, &s); err != nil {
 		return nil, errors.Wrap(err, "parse settings file")
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -28,7 +28,7 @@
 	log      *audit.Log
 	store    *settings.Store
 	client   *peer.Client
-	platform *platform.Client
+	platform Platform
 	table    *membership.Table
 	runner   *membership.Runner
 	owner    *ledger.Owner
@@ -38,8 +38,22 @@
 	incarnation uint64 // drawn at start
 }
 
-// New assembles an entry. Nothing runs before Run.
+// Platform is the client of the platform.
+type Platform interface {
+	membership.Platform
+	Close()
+}
+
+// New assembles an entry that reads from the configuration service that the
+// settings name. Nothing runs before Run.
 func New(conf *static.Settings, log *logrus.Logger) *Entry {
+	return NewOn(conf, log, func(rec events.Recorder) Platform {
+		return platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, rec)
+	})
+}
+
+// NewOn is New for another platform, whose client connect makes.
+func NewOn(conf *static.Settings, log *logrus.Logger, connect func(events.Recorder) Platform) *Entry {
 	e := &Entry{conf: conf}
 	e.log = audit.New(conf.Limits.RequestRecords, conf.Limits.AuditRecords)
 	e.rec = events.NewLogger(log, e.log)
@@ -49,7 +63,7 @@
 	keyring := ledger.NewKeyring(conf.Secrets.KeySigning)
 
 	e.store = settings.NewStore(e.rec, c)
-	e.platform = platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, e.rec)
+	e.platform = connect(e.rec)
 	e.client = peer.NewClient(e.peerOptions())
 	e.owner = ledger.NewOwner(ledger.OwnerOptions{
 		Address: conf.Listen.Peers, Incarnation: e.incarnation, Clock: c,
@@ -78,7 +92,7 @@
 	})
 	e.runner = membership.NewRunner(membership.RunnerOptions{
 		Platform: e.platform, Store: e.store, Table: e.table, Clock: c, Recorder: e.rec,
-		OnUnconfirmed: conf.OnUnconfirmed, OnInstances: e.gateway.UpdateInstances,
+		OnUnconfirmed: conf.OnUnconfirmed, PlatformConfirms: conf.PlatformConfirms, OnInstances: e.gateway.UpdateInstances,
 	})
 	return e
 }
--- a/pkg/entry/operators.go
+++ b/pkg/entry/operators.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/gateway"
@@ -42,6 +45,24 @@
 	return operator.DescribeInstances(v.e.store.State(), ready, reason, v.e.table.Members())
 }
 
+// readinessTimeout bounds one question of the load balancer.
+const readinessTimeout = 5 * time.Second
+
+// readinessServer answers the load balancer, and nobody else.
+func (e *Entry) readinessServer() *http.Server {
+	router := echo.New()
+	router.HideBanner, router.HidePort = true, true
+	router.GET(e.conf.Listen.ReadyPath, func(c echo.Context) error {
+		if ok, reason := e.ready(); !ok {
+			return c.String(http.StatusServiceUnavailable, reason+"\n")
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	return &http.Server{
+		Handler: router, ReadHeaderTimeout: readinessTimeout, WriteTimeout: readinessTimeout, IdleTimeout: time.Minute,
+	}
+}
+
 func (e *Entry) operatorServer() *http.Server {
 	return operator.NewServer(operator.Options{
 		View: view{e.gateway, e}, Credential: e.conf.Secrets.Operator,
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -32,6 +32,10 @@
 	group.Go(func() error { return peer.Serve(work, ls.Peers, service{e: e}, e.peerOptions()) })
 	group.Go(func() error { return ignoreClosed(operators.Serve(ls.Operators)) })
 	group.Go(func() error { return ignoreClosed(server.Serve(callers)) })
+	readiness := e.readinessServer()
+	if ls.Ready != nil {
+		group.Go(func() error { return ignoreClosed(readiness.Serve(ls.Ready)) })
+	}
 	var loops sync.WaitGroup
 	loops.Go(func() { e.runner.Run(work) })
 	loops.Go(func() { e.gateway.Run(work) })
@@ -45,6 +49,7 @@
 	}
 	e.shutdown(server)
 	_ = operators.Close()
+	_ = readiness.Close()
 	stop()
 	err := group.Wait()
 	loops.Wait()
@@ -81,6 +86,7 @@
 // Listeners are the open listeners of an entry. Run closes them.
 type Listeners struct {
 	Callers, Peers, Operators net.Listener
+	Ready                     net.Listener // nil: none
 }
 
 // Listen opens the listeners of the settings file. The error names the address
@@ -91,7 +97,10 @@
 	for _, one := range []struct {
 		address string
 		into    *net.Listener
-	}{{l.Callers, &out.Callers}, {l.Peers, &out.Peers}, {l.Operators, &out.Operators}} {
+	}{{l.Callers, &out.Callers}, {l.Peers, &out.Peers}, {l.Operators, &out.Operators}, {l.Ready, &out.Ready}} {
+		if one.address == "" {
+			continue
+		}
 		ln, err := lc.Listen(ctx, "tcp", one.address)
 		if err != nil {
 			out.close()
@@ -103,7 +112,7 @@
 }
 
 func (l *Listeners) close() {
-	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Operators} {
+	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Operators, l.Ready} {
 		if ln != nil {
 			_ = ln.Close()
 		}
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -32,7 +32,9 @@
 		_ = server.Close()
 	}
 	e.gateway.Wait(ctx)
-	e.handOver(ctx)
+	if e.conf.Shutdown.HandOver {
+		e.handOver(ctx)
+	}
 }
 
 // handOver gives the ledger to a peer. Only a peer that refused the first chunk
--- /dev/null
+++ b/pkg/gateway/consult.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"lentilpin/pkg/routing"
+)
+
+const (
+	// nearPatience and farPatience bound how long a decision waits for the loads
+	// that it asked for in the own failure domain and in others. They cover
+	// the round trip, the reply and some wait for the processor on both sides.
+	nearPatience = 10 * time.Millisecond
+	farPatience  = 40 * time.Millisecond
+	// typicalAsked is the number of backend servers asked at once by default.
+	typicalAsked = 4
+)
+
+// consult asks the backend servers that the policy wants to know more about
+// before it decides: those of the own failure domain, then, where they promise
+// too little, others.
+func (c *call) consult(ctx context.Context, exclude []*routing.Server) {
+	if !c.svc.set.Asks() {
+		return
+	}
+	var room [typicalAsked]*routing.Server
+	near := c.svc.set.Ask(c.g.now(), false, exclude, room[:0])
+	c.svc.askAll(ctx, near, nearPatience)
+	far := c.svc.set.Ask(c.g.now(), true, exclude, room[:0])
+	c.svc.askAll(ctx, far, farPatience)
+}
+
+// askAll asks backend servers for their load and waits until all have replied,
+// at most for patience. Replies that come later still count for later
+// decisions.
+func (s *service) askAll(ctx context.Context, servers []*routing.Server, patience time.Duration) {
+	replies := make(chan struct{}, len(servers))
+	asked := 0
+	for _, server := range servers {
+		if !server.Ask(s.now()) {
+			continue
+		}
+		asked++
+		s.background.Go(func() {
+			s.askLoad(server)
+			replies <- struct{}{}
+		})
+	}
+	if asked == 0 {
+		return
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for range asked {
+		select {
+		case <-replies:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// askLoad asks one backend server for its load.
+func (s *service) askLoad(server *routing.Server) {
+	_, signals := s.ask(context.Background(), server, s.settings.Load().Paths.Load)
+	server.Replied(s.now(), signals.HasReport)
+	s.asked.Inc(1)
+}
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -36,9 +36,10 @@
 // capacity. The refusal is nil on success.
 func (c *call) pick(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
 	if len(c.svc.set.Servers()) == 0 {
-		res := notRun(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").retryAfter(retryAfterMS)
+		res := notRun(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").retryLater()
 		return nil, &res
 	}
+	c.consult(ctx, exclude)
 	err := c.svc.queue.Admit(ctx, func() bool {
 		server = c.svc.set.Pick(c.g.now(), exclude)
 		return server != nil
@@ -53,7 +54,7 @@
 	case errors.Is(err, context.Canceled):
 		res = result{outcome: audit.Aborted, run: audit.NotRun, reason: reasonCallerGone}
 	default:
-		res = notRun(http.StatusServiceUnavailable, reasonOverloaded, "all backend servers are busy: "+err.Error()).retryAfter(retryAfterMS)
+		res = notRun(http.StatusServiceUnavailable, reasonOverloaded, "all backend servers are busy: "+err.Error()).retryLater()
 	}
 	return nil, &res
 }
@@ -83,6 +84,7 @@
 		Header:     c.r.Header,
 		Body:       c.body,
 		Idempotent: c.isRead(),
+		Instance:   server.ID(),
 	})
 	a.latency = time.Since(a.start)
 	if a.resp != nil {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/membership"
 	"lentilpin/pkg/platform"
+	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/settings"
 )
@@ -79,6 +80,8 @@
 	prefix   string
 	sequence atomic.Uint64
 	services atomic.Pointer[services]
+	routes   atomic.Pointer[route.Table]
+	callers  atomic.Pointer[callerRules]
 	updateMu sync.Mutex // serialises changes of services
 	list     []platform.Instance
 
@@ -100,6 +103,7 @@
 		accepted: o.Scope.Counter("requests_accepted"),
 	}
 	g.services.Store(&services{})
+	g.callers.Store(newCallerRules(&dynamic.Callers{}))
 	o.Store.Subscribe(g.adopt)
 	return g
 }
@@ -142,6 +146,8 @@
 	}
 	old := g.services.Load().list
 	g.services.Store(newServices(next))
+	g.routes.Store(route.NewTable(g.routes.Load(), tree.Routes))
+	g.callers.Store(newCallerRules(&tree.Callers))
 	for _, s := range old {
 		if next[s.name] == nil {
 			s.pool.Close()
@@ -189,10 +195,14 @@
 		if i.Kind != platform.KindBackend {
 			continue
 		}
-		live[i.Service] = append(live[i.Service], routing.Backend{Address: i.Address, FailureDomain: i.FailureDomain})
+		b := routing.Backend{Address: i.Address, FailureDomain: i.FailureDomain, ID: i.ID, Start: i.Start, ColdFor: i.ColdFor}
 		if i.State == platform.StateLeaving {
-			leaving[i.Service] = append(leaving[i.Service], i.Address)
+			leaving[i.Service] = append(leaving[i.Service], b.Key())
+			if i.ID != "" {
+				continue // its address and identity never come back to life together
+			}
 		}
+		live[i.Service] = append(live[i.Service], b)
 	}
 	for _, s := range g.services.Load().list {
 		s.update(live[s.name], leaving[s.name])
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -62,7 +62,7 @@
 			s.retries.Report(g.o.Recorder, s.name)
 			s.checkEjected(ctx, probes)
 		}
-		if !idle {
+		if !idle && !s.set.Asks() {
 			s.sendProbes(ctx, probes)
 		}
 	}
--- a/pkg/gateway/order.go
+++ b/pkg/gateway/order.go
@@ -96,7 +96,7 @@
 	}
 	res.outcome = audit.Outcome(res.run)
 	if text.status == http.StatusServiceUnavailable {
-		res.retryMS = retryAfterMS
+		res.retry = true
 	}
 	return res
 }
@@ -106,7 +106,7 @@
 func (c *call) orderAttempts(ctx context.Context, claim *ledger.Claim) result {
 	var tried []*routing.Server
 	c.svc.retries.Request(c.g.now())
-	for i := range c.settings.Retry.MaxAttempts {
+	for i := range c.maxAttempts() {
 		if i > 0 && !c.svc.retries.Take(c.g.now()) {
 			break
 		}
@@ -131,7 +131,7 @@
 		tried = append(tried, server)
 	}
 	c.settle(claim, peerpb.Run_RUN_NOT_RUN, nil)
-	return notRun(http.StatusServiceUnavailable, reasonOverloaded, "every backend server that was asked refused before running").retryAfter(retryAfterMS)
+	return notRun(http.StatusServiceUnavailable, reasonOverloaded, "every backend server that was asked refused before running").retryLater()
 }
 
 // concludeOrder handles the attempt that ran or may have run.
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -6,6 +6,9 @@
 const (
 	reasonMalformed      = "malformed_request"
 	reasonUnknownService = "unknown_service"
+	reasonUnknownRoute   = "unknown_route"
+	reasonHeaderTooLarge = "header_too_large"
+	reasonIDRequired     = "request_id_required"
 	reasonNotReady       = "not_ready"
 	reasonUnconfirmed    = "settings_unconfirmed"
 	reasonQuarantined    = "quarantined"
@@ -31,7 +34,7 @@
 	status   int
 	detail   string
 	keyState string
-	retryMS  int // for Retry-After; 0: no such field
+	retry    bool // a later try may not meet the reason: Retry-After is stated
 }
 
 // notRun returns the refusal of a request that did not run.
@@ -44,15 +47,12 @@
 	return result{outcome: audit.OutcomeUnknown, run: audit.Unknown, status: status, reason: reason, detail: detail}
 }
 
-// retryAfter adds the Retry-After field, in milliseconds rounded up to seconds.
-func (r result) retryAfter(ms int) result {
-	r.retryMS = ms
+// retryLater adds the Retry-After field.
+func (r result) retryLater() result {
+	r.retry = true
 	return r
 }
 
-// retryAfterMS is told to callers of refusals that a later try may not meet.
-const retryAfterMS = 1000
-
 // Key states of problem details.
 const (
 	keyNone  = "none"
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -24,7 +24,7 @@
 
 // probe asks one backend server for its load.
 func (s *service) probe(ctx context.Context, server *routing.Server) {
-	if _, signals := s.ask(ctx, server, loadPath); signals.HasReport {
+	if _, signals := s.ask(ctx, server, s.settings.Load().Paths.Load); signals.HasReport {
 		s.set.Probed(s.now(), server, signals.Report)
 	}
 }
@@ -33,7 +33,7 @@
 // connection, so that its number is bounded by that of failed attempts; it is
 // no measurement of load and draws on no probe budget.
 func (s *service) checkAlive(server *routing.Server) {
-	s.ask(context.Background(), server, healthPath)
+	s.ask(context.Background(), server, s.settings.Load().Paths.Health)
 }
 
 // checkEjected asks the ejected backend servers for their health, each once in
@@ -46,12 +46,12 @@
 	}
 	s.nextHealth = now + dynamic.MS(s.settings.Load().Outlier.HealthPeriodMS)
 	for _, server := range s.set.Servers() {
-		if info, ok := s.outliers.Info(now, server.Address()); !ok || info.State != outlier.Ejected {
+		if info, ok := s.outliers.Info(now, server.Key()); !ok || info.State != outlier.Ejected {
 			continue
 		}
 		running.Go(func() {
-			status, _ := s.ask(ctx, server, healthPath)
-			s.outliers.Health(s.now(), server.Address(), status == http.StatusOK)
+			status, _ := s.ask(ctx, server, s.settings.Load().Paths.Health)
+			s.outliers.Health(s.now(), server.Key(), status == http.StatusOK)
 		})
 	}
 }
@@ -62,6 +62,7 @@
 	defer cancel()
 	resp, fail := s.pool.Do(ctx, server.Address(), &transport.Request{
 		Method: http.MethodGet, Target: path, Host: server.Address(), Idempotent: true,
+		Instance: server.ID(), Probe: true,
 	})
 	if fail != nil {
 		s.noteDial(server, fail)
@@ -79,9 +80,3 @@
 		s.quarantine.Failed(s.now(), server.Address())
 	}
 }
-
-// Paths of a backend server besides those of its service.
-const (
-	loadPath   = "/load"
-	healthPath = "/health"
-)
--- a/pkg/gateway/problem.go
+++ b/pkg/gateway/problem.go
@@ -33,7 +33,7 @@
 
 // writeProblem sends res as a problem to the caller. A write error means that
 // the caller is gone, which changes nothing about the outcome.
-func writeProblem(w http.ResponseWriter, id string, res result) {
+func writeProblem(w http.ResponseWriter, rules *callerRules, id string, res result) {
 	body, err := json.Marshal(Problem{
 		Type:      "urn:lentilpin:reason:" + res.reason,
 		Title:     http.StatusText(res.status),
@@ -52,8 +52,8 @@
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Cache-Control", "no-store")
-	if res.retryMS > 0 {
-		h.Set("Retry-After", strconv.Itoa((res.retryMS+999)/1000))
+	if res.retry {
+		h.Set("Retry-After", rules.retryAfter())
 	}
 	w.WriteHeader(res.status)
 	_, _ = w.Write(body)
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -14,7 +14,7 @@
 // hedges allow, the first good response wins and the others are cancelled.
 func (c *call) read(ctx context.Context) result {
 	c.svc.retries.Request(c.g.now())
-	rd := &reader{call: c, ctx: ctx, results: make(chan *attempt, c.settings.Retry.MaxAttempts)}
+	rd := &reader{call: c, ctx: ctx, results: make(chan *attempt, c.maxAttempts())}
 	if res := rd.launch(); res != nil {
 		return *res
 	}
@@ -66,7 +66,7 @@
 // hedge starts a second attempt only where a server has capacity now: a hedge
 // that waits in the queue would delay the results of the first attempt.
 func (rd *reader) hedge() {
-	if rd.started >= rd.settings.Retry.MaxAttempts || rd.ctx.Err() != nil || !rd.svc.retries.TakeHedge(rd.g.now()) {
+	if rd.started >= rd.maxAttempts() || rd.ctx.Err() != nil || !rd.svc.retries.TakeHedge(rd.g.now()) {
 		return
 	}
 	if server := rd.svc.set.Pick(rd.g.now(), rd.tried); server != nil {
@@ -155,7 +155,7 @@
 }
 
 func (rd *reader) mayRetry() bool {
-	return rd.started < rd.settings.Retry.MaxAttempts && rd.ctx.Err() == nil && rd.svc.retries.Take(rd.g.now())
+	return rd.started < rd.maxAttempts() && rd.ctx.Err() == nil && rd.svc.retries.Take(rd.g.now())
 }
 
 // drain cancels what is still under way. The losers are ended in the
@@ -206,7 +206,7 @@
 // hedgeTimer fires when the response takes longer than the service's usual
 // percentile.
 func (rd *reader) hedgeTimer() (<-chan time.Time, func()) {
-	if !rd.settings.Retry.Hedge || rd.settings.Retry.MaxAttempts < 2 {
+	if !rd.settings.Retry.Hedge || rd.maxAttempts() < 2 {
 		return nil, func() {}
 	}
 	delay, ok := rd.svc.hedgeDelay.Delay()
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -15,6 +15,7 @@
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/quarantine"
+	"lentilpin/pkg/route"
 )
 
 const (
@@ -32,6 +33,8 @@
 	id          string
 	started     time.Time
 	svc         *service
+	rules       *callerRules
+	route       *route.Route     // nil: the first path segment named the service
 	settings    *dynamic.Service // one snapshot for the whole request
 	deadline    time.Time
 	target      string // path and query as sent to the backend server
@@ -43,23 +46,30 @@
 
 // serve takes one request from acceptance to its only outcome.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	c := &call{g: g, w: w, r: r, id: g.nextID(), started: time.Now()}
+	c := &call{g: g, w: w, r: r, started: time.Now(), rules: g.callers.Load()}
+	given := c.identify()
 	c.rec = audit.Record{RequestID: c.id, Method: r.Method, Start: c.started, KeyState: keyNone}
 	if r.Header.Get(headerIdempotencyKey) != "" {
 		c.rec.KeyState = keyOpen
 	}
-	w.Header().Set(headerRequestID, c.id)
+	w.Header().Set(c.rules.requestID, c.id)
 	// net/http keeps the deadline of the former request on this connection.
 	_ = http.NewResponseController(w).SetWriteDeadline(c.started.Add(refusalWriteTime))
 	g.accepted.Inc(1)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 
-	res, ok := c.resolve()
+	var res result
+	ok := false
+	if c.rules.RequireRequestID && !given {
+		res = c.refuseUnclaimed(http.StatusBadRequest, reasonIDRequired, "the request needs one identifier in "+c.rules.requestID)
+	} else {
+		res, ok = c.resolve()
+	}
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
-		if c.settings.IsIdempotent(r.Method) {
+		if c.isRead() {
 			res = c.read(ctx)
 		} else {
 			res = c.order(ctx)
@@ -77,7 +87,7 @@
 	if res.reason != "" && res.outcome != audit.Aborted && res.outcome != audit.Answered {
 		c.offerKey()
 		c.w.Header().Set(headerRun, string(res.run))
-		writeProblem(c.w, c.id, res)
+		writeProblem(c.w, c.rules, c.id, res)
 	}
 	c.rec.Outcome, c.rec.Run, c.rec.Reason = res.outcome, res.run, res.reason
 	c.rec.Status, c.rec.KeyState = res.status, res.keyState
@@ -117,6 +127,9 @@
 // offerKey puts a fresh key on the response of a request that may be followed
 // by a non-idempotent one.
 func (c *call) offerKey() {
+	if c.settings != nil && !c.settings.RequireKey {
+		return
+	}
 	lifetime := defaultKeyLifetime
 	if c.settings != nil {
 		lifetime = dynamic.MS(c.settings.Keys.LifetimeMS)
@@ -127,18 +140,18 @@
 // resolve checks the request and finds its service. It returns false with the
 // refusal where the request goes no further.
 func (c *call) resolve() (result, bool) {
-	name, _, _ := strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
-	c.rec.Service = name
+	if c.rules.MaxHeaderBytes > 0 && headerBytes(c.r) > c.rules.MaxHeaderBytes {
+		return c.refuseUnclaimed(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge, "the header is longer than maxHeaderBytes"), false
+	}
 	if hasConflictingLengths(c.r) {
 		c.w.Header().Set("Connection", "close")
 		return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, "the request has both Content-Length and Transfer-Encoding"), false
 	}
 	if ok, reason := c.g.ready(); !ok {
-		return c.refuseUnclaimed(http.StatusServiceUnavailable, reason, "this entry does not serve now; another one may").retryAfter(retryAfterMS), false
+		return c.refuseUnclaimed(http.StatusServiceUnavailable, reason, "this entry does not serve now; another one may").retryLater(), false
 	}
-	c.svc = c.g.service(name)
-	if c.svc == nil {
-		return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownService, "no such service in this region"), false
+	if res, ok := c.locate(); !ok {
+		return res, false
 	}
 	c.settings = c.svc.settings.Load()
 	if res, ok := c.resolveDeadline(); !ok {
@@ -156,11 +169,62 @@
 	return result{}, true
 }
 
+// identify gives the request its identifier: the caller's, where the callers'
+// identifiers are also those of the backend servers, else one of its own. It
+// reports whether the caller gave exactly one.
+func (c *call) identify() bool {
+	values := c.r.Header[c.rules.requestID]
+	given := len(values) == 1 && isIdentifier(values[0])
+	if given && c.rules.RequireRequestID {
+		c.id = values[0]
+	} else {
+		c.id = c.g.nextID()
+	}
+	return given
+}
+
+// maxIdentifierBytes bounds an identifier given by a caller.
+const maxIdentifierBytes = 128
+
+func isIdentifier(s string) bool {
+	if s == "" || len(s) > maxIdentifierBytes {
+		return false
+	}
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// locate finds the route and the service of the request. Where the settings
+// state no routes, the first segment of the path names the service.
+func (c *call) locate() (result, bool) {
+	routes := c.g.routes.Load()
+	if routes.IsEmpty() {
+		c.rec.Service, _, _ = strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
+		if c.svc = c.g.service(c.rec.Service); c.svc == nil {
+			return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownService, "no such service in this region"), false
+		}
+		return result{}, true
+	}
+	c.route = routes.Lookup(c.r.Host, c.r.URL.EscapedPath())
+	if c.route == nil {
+		return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownRoute, "no route for this host and path"), false
+	}
+	c.rec.Service = c.route.Service()
+	if c.svc = c.g.service(c.rec.Service); c.svc == nil {
+		return c.refuseUnclaimed(http.StatusServiceUnavailable, reasonUnknownService, "the service of the route is not known here").retryLater(), false
+	}
+	return result{}, true
+}
+
 // announce adds what the backend server should know of the caller and of this
 // request, before the first attempt reads the header.
 func (c *call) announce() {
 	h := c.r.Header
-	h.Set(headerRequestID, c.id)
+	h.Set(c.rules.requestID, c.id)
 	address, _, err := net.SplitHostPort(c.r.RemoteAddr)
 	if err != nil {
 		return
@@ -173,10 +237,13 @@
 
 func (c *call) resolveDeadline() (result, bool) {
 	timeout := c.settings.Timeout()
-	if text := c.r.Header.Get(headerTimeout); text != "" {
+	if c.route != nil && c.route.TimeoutMS > 0 {
+		timeout = c.route.Timeout()
+	}
+	if text := c.r.Header.Get(c.rules.timeout); text != "" {
 		ms, err := strconv.ParseUint(text, 10, 31)
 		if err != nil || ms == 0 {
-			return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, "Request-Timeout must be a positive whole number of milliseconds"), false
+			return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, c.rules.timeout+" must be a positive whole number of milliseconds"), false
 		}
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
@@ -195,6 +262,9 @@
 		return result{}, true
 	}
 	limit := c.settings.MaxBodyBytes
+	if c.rules.MaxBodyBytes > 0 {
+		limit = min(limit, c.rules.MaxBodyBytes)
+	}
 	if c.r.ContentLength > limit {
 		return c.refuseUnclaimed(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
 	}
@@ -210,6 +280,26 @@
 	return result{}, true
 }
 
+// headerBytes is the size of the request's header as the caller wrote it, but
+// for white space.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
+// maxAttempts is the number of backend servers that the request may be sent to.
+func (c *call) maxAttempts() int {
+	if c.route != nil && c.route.MaxAttempts > 0 {
+		return c.route.MaxAttempts
+	}
+	return c.settings.Retry.MaxAttempts
+}
+
 // refuseUnclaimed refuses a request before its key was claimed. Without a key
 // nothing ran; with one, an earlier request with that key may have run, which
 // only the key's owner knows.
@@ -220,6 +310,10 @@
 	return notRun(status, reason, detail)
 }
 
+// isRead reports whether the request is idempotent.
 func (c *call) isRead() bool {
+	if c.route != nil {
+		return c.route.Idempotent
+	}
 	return c.settings != nil && c.settings.IsIdempotent(c.r.Method)
 }
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -42,8 +42,11 @@
 	limitsMu sync.Mutex
 	limits   map[*routing.Server]*limit.Concurrency
 
+	background *tracker
+
 	hedges  tally.Counter
 	retried tally.Counter
+	asked   tally.Counter
 }
 
 // serviceRecorder adds the name of the service to the events of packages that
@@ -74,7 +77,7 @@
 		outliers:   outlier.New(settings, rec),
 		quarantine: quarantine.New(settings, rec),
 		queue:      limit.NewQueue(settings.Queue.MaxRequests, dynamic.MS(settings.Queue.MaxWaitMS)),
-		retries:    retry.NewBudget(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond),
+		retries:    retry.NewBudget(settings.Retry),
 		hedgeDelay: retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		limits:     map[*routing.Server]*limit.Concurrency{},
 		notify:     g.o.Notify,
@@ -82,6 +85,8 @@
 		prober:     measure.NewProber(set, budgets, seed),
 		hedges:     scope.Counter("hedges"),
 		retried:    scope.Counter("retries"),
+		asked:      scope.Counter("load_questions"),
+		background: &g.background,
 	}
 	s.settings.Store(settings)
 	s.lastUse.Store(-int64(idleAfter) - 1)
@@ -97,7 +102,7 @@
 	s.queue.Configure(settings.Queue.MaxRequests, dynamic.MS(settings.Queue.MaxWaitMS))
 	s.budgets.Configure(settings)
 	s.hedgeDelay.Configure(settings.Retry.HedgePercentile)
-	s.retries.Configure(settings.Retry.BudgetRatio, settings.Retry.MinPerSecond)
+	s.retries.Configure(settings.Retry)
 	s.limitsMu.Lock()
 	for server, c := range s.limits {
 		c.SetMax(int32(settings.PerInstance()))
@@ -116,7 +121,7 @@
 	s.set.Update(now, live)
 	addresses := make([]string, len(live))
 	for i, b := range live {
-		addresses[i] = b.Address
+		addresses[i] = b.Key()
 	}
 	s.outliers.Update(now, addresses)
 	for _, a := range leaving {
@@ -132,7 +137,7 @@
 		server.Observe(s.now(), sig.Report, 0)
 	}
 	if sig.Draining {
-		s.outliers.Drain(s.now(), server.Address(), "response")
+		s.outliers.Drain(s.now(), server.Key(), "response")
 		s.sweep()
 	}
 }
@@ -144,8 +149,10 @@
 	s.lastUse.Store(int64(now))
 	server.End(now, latency, o)
 	if o != routing.Canceled {
-		s.outliers.Record(now, server.Address(), latency, o)
-		server.SetLimit(s.concurrency(server).Record(latency, o))
+		s.outliers.Record(now, server.Key(), latency, o)
+		if s.settings.Load().Queue.AdaptiveLimit {
+			server.SetLimit(s.concurrency(server).Record(latency, o))
+		}
 	}
 	s.queue.Wake()
 }
@@ -171,7 +178,7 @@
 	s.limitsMu.Lock()
 	defer s.limitsMu.Unlock()
 	for server := range s.limits {
-		if s.set.Server(server.Address()) != server {
+		if s.set.Server(server.Key()) != server {
 			delete(s.limits, server)
 		}
 	}
@@ -186,7 +193,7 @@
 		}
 		server.SetWeight(change.Weight)
 		if change.Weight == 0 {
-			s.pool.Retire(change.Address)
+			s.pool.Retire(server.Address())
 		}
 		if change.To == outlier.Draining {
 			s.notify()
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -17,8 +17,8 @@
 	now := g.now()
 	out := []operator.Backend{}
 	for _, server := range s.set.Servers() {
-		info, _ := s.outliers.Info(now, server.Address())
-		out = append(out, operator.DescribeBackend(s.set.Why(now, server.Address()), info))
+		info, _ := s.outliers.Info(now, server.Key())
+		out = append(out, operator.DescribeBackend(s.set.Why(now, server.Key()), info))
 	}
 	slices.SortFunc(out, func(a, b operator.Backend) int { return strings.Compare(a.Address, b.Address) })
 	return out, true
--- a/pkg/membership/runner.go
+++ b/pkg/membership/runner.go
@@ -39,8 +39,11 @@
 	Table         *Table
 	Clock         clock.Clock
 	Recorder      events.Recorder
-	OnUnconfirmed string                    // wait or serve
-	OnInstances   func([]platform.Instance) // each instance list that was read
+	OnUnconfirmed string // wait or serve
+	// PlatformConfirms says that a read of the platform is linearizable, so
+	// that it confirms a version at once, also at the start.
+	PlatformConfirms bool
+	OnInstances      func([]platform.Instance) // each instance list that was read
 }
 
 // Runner keeps the settings and the table of members up to date.
@@ -131,7 +134,7 @@
 	var refused uint64 // the service is not asked again for a version that was refused
 	for ctx.Err() == nil {
 		epoch := r.o.Store.Epoch()
-		confirming := !r.o.Store.Confirmed() && r.o.Store.EverConfirmed()
+		confirming := !r.o.Store.Confirmed() && (r.o.Store.EverConfirmed() || r.o.PlatformConfirms)
 		version, text, err := r.readTree(ctx, max(r.o.Store.Version(), refused), confirming)
 		if err == nil {
 			switch r.o.Store.Offer(text, "service") {
@@ -160,7 +163,7 @@
 
 // confirmByService confirms after a pause, once the peers had time to do it.
 func (r *Runner) confirmByService(ctx context.Context, epoch uint64) {
-	if r.o.Table.hasPeers() {
+	if !r.o.PlatformConfirms && r.o.Table.hasPeers() {
 		t := time.NewTimer(peersFirst - r.sinceUnconfirmed())
 		defer t.Stop()
 		select {
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -47,6 +47,13 @@
 	FailureDomain string `json:"failureDomain"`
 	State         string `json:"state"` // live or leaving
 	Ordinal       int    `json:"ordinal"`
+	// ID identifies this start of a backend server; empty if not stated. A
+	// request that expects it is refused by any other backend server.
+	ID string `json:"id,omitempty"`
+	// Start tells the starts of a backend server under one ID apart.
+	Start string `json:"start,omitempty"`
+	// ColdFor is how much longer a backend server is slow after its start.
+	ColdFor time.Duration `json:"-"`
 }
 
 // Client reads from the platform. It is safe for concurrent use, but each of
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -4,14 +4,10 @@
 	"sync"
 	"time"
 
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 )
 
-// Burst is the number of extra attempts that the bucket holds at most, unless
-// the constant rate is higher. It covers the connections that one entry has open
-// to one backend server (6 by default), which may all break at once.
-const Burst = 10
-
 // rounding lets ten times a ratio of 0.1 add up to one token in spite of binary
 // fractions.
 const rounding = 1e-9
@@ -21,27 +17,28 @@
 	mu         sync.Mutex
 	ratio      float64
 	perSecond  float64
+	burst      float64
 	tokens     float64
 	last       time.Duration
 	refused    uint64
 	exhaustion events.Exhaustion
 }
 
-// NewBudget returns a budget of ratio extra attempts per first attempt (setting
-// retry.budgetRatio, default 0.1) and minPerSecond besides (retry.minPerSecond,
-// default 1). It starts with one second of the constant rate.
-func NewBudget(ratio, minPerSecond float64) *Budget {
+// NewBudget returns a budget of budgetRatio extra attempts per first attempt and
+// minPerSecond besides; it holds at most burst of them, or one second of the
+// constant rate if that is more. It starts with one second of the constant rate.
+func NewBudget(settings dynamic.Retry) *Budget {
 	b := &Budget{}
-	b.Configure(ratio, minPerSecond)
-	b.tokens = minPerSecond
+	b.Configure(settings)
+	b.tokens = settings.MinPerSecond
 	return b
 }
 
 // Configure changes the budget. What the bucket holds is kept up to the bound.
-func (b *Budget) Configure(ratio, minPerSecond float64) {
+func (b *Budget) Configure(settings dynamic.Retry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.perSecond = ratio, minPerSecond
+	b.ratio, b.perSecond, b.burst = settings.BudgetRatio, settings.MinPerSecond, float64(settings.Burst)
 	b.add(0)
 }
 
@@ -49,9 +46,11 @@
 func (b *Budget) Capacity() float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return max(Burst, b.perSecond)
+	return b.capacity()
 }
 
+func (b *Budget) capacity() float64 { return max(b.burst, b.perSecond) }
+
 // Request counts one first attempt.
 func (b *Budget) Request(now time.Duration) {
 	b.mu.Lock()
@@ -100,5 +99,5 @@
 }
 
 func (b *Budget) add(tokens float64) {
-	b.tokens = min(b.tokens+tokens, max(Burst, b.perSecond))
+	b.tokens = min(b.tokens+tokens, b.capacity())
 }
--- a/pkg/retry/reserve.go
+++ b/pkg/retry/reserve.go
@@ -13,7 +13,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1+hedgeReserve*max(Burst, b.perSecond) {
+	if b.tokens < 1+hedgeReserve*b.capacity() {
 		return false
 	}
 	b.tokens--
--- a/pkg/retry/reserve_test.go
+++ b/pkg/retry/reserve_test.go
@@ -5,12 +5,13 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/retry"
 )
 
 // Guards against hedges that leave no budget for retries.
 func TestHedgesLeaveHalfForRetries(t *testing.T) {
-	b := retry.NewBudget(1, 0)
+	b := retry.NewBudget(dynamic.Retry{BudgetRatio: 1, MinPerSecond: 0, Burst: burst})
 	for range 100 {
 		b.Request(0)
 	}
@@ -21,6 +22,6 @@
 	for b.Take(0) {
 		retries++
 	}
-	require.Equal(t, retry.Burst/2, hedges)
-	require.Equal(t, retry.Burst/2, retries)
+	require.Equal(t, burst/2, hedges)
+	require.Equal(t, burst/2, retries)
 }
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -9,10 +9,14 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/retry"
 )
 
+// burst is the default of the setting.
+const burst = 10
+
 type attempt struct {
 	at    time.Duration
 	extra bool
@@ -24,7 +28,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
 		rate := rapid.Float64Range(0, 30).Draw(t, "rate")
-		b := retry.NewBudget(ratio, rate)
+		b := retry.NewBudget(dynamic.Retry{BudgetRatio: ratio, MinPerSecond: rate, Burst: burst})
 		var now time.Duration
 		var log []attempt
 		take := func(t *rapid.T) {
@@ -52,7 +56,7 @@
 			},
 			"late clock": func(t *rapid.T) { b.Request(now - time.Second); log = append(log, attempt{now, false}) },
 		})
-		capacity := max(retry.Burst, rate)
+		capacity := max(burst, rate)
 		for i, from := range log {
 			extra, first := 0.0, 0.0
 			for _, a := range log[i:] {
@@ -71,7 +75,7 @@
 
 // Guards against a budget that gives less than agreed.
 func TestBudgetGives(t *testing.T) {
-	b := retry.NewBudget(0.1, 1)
+	b := retry.NewBudget(dynamic.Retry{BudgetRatio: 0.1, MinPerSecond: 1, Burst: burst})
 	require.True(t, b.Take(0), "one second of the constant rate at the start")
 	require.False(t, b.Take(0))
 	for range 50 {
@@ -93,7 +97,7 @@
 // Guards against an exhausted budget that nobody hears of, or hears of again and
 // again.
 func TestBudgetReports(t *testing.T) {
-	b := retry.NewBudget(0, 0)
+	b := retry.NewBudget(dynamic.Retry{BudgetRatio: 0, MinPerSecond: 0, Burst: burst})
 	var got names
 	for _, refuse := range []bool{false, true, true, false, false} {
 		if refuse {
@@ -147,7 +151,7 @@
 }
 
 func BenchmarkBudget(b *testing.B) {
-	budget := retry.NewBudget(0.1, 1)
+	budget := retry.NewBudget(dynamic.Retry{BudgetRatio: 0.1, MinPerSecond: 1, Burst: burst})
 	b.ReportAllocs()
 	for b.Loop() {
 		budget.Request(0)
--- /dev/null
+++ b/pkg/route/route_test.go
@@ -0,0 +1,82 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lentilpin/pkg/config/dynamic"
+)
+
+func one(host, prefix, service string) dynamic.Route {
+	return dynamic.Route{Host: host, PathPrefix: prefix, Services: []dynamic.Share{{Service: service}}}
+}
+
+// Guards against a shorter prefix that wins over a longer one, and against a
+// route of another host.
+func TestLookup(t *testing.T) {
+	table := NewTable(nil, []dynamic.Route{
+		one("a.example", "/", "root"), one("a.example", "/x/", "x"), one("a.example", "/x/y/", "xy"), one("B.example", "/x/", "bx"),
+	})
+	for _, tt := range []struct{ desc, host, path, want string }{
+		{"longest prefix", "a.example", "/x/y/1", "xy"},
+		{"shorter prefix where the longer does not match", "a.example", "/x/z", "x"},
+		{"a prefix ends with a slash", "a.example", "/x/yy", "x"},
+		{"prefix without its slash", "a.example", "/x", "root"},
+		{"root", "a.example", "/other", "root"},
+		{"host of another case and with a port", "b.EXAMPLE:80", "/x/1", "bx"},
+		{"unknown path of a known host", "b.example", "/", ""},
+		{"unknown host", "c.example", "/x/1", ""},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			r := table.Lookup(tt.host, tt.path)
+			if tt.want == "" {
+				require.Nil(t, r)
+				return
+			}
+			require.Equal(t, tt.want, r.Service())
+		})
+	}
+	require.Nil(t, (*Table)(nil).Lookup("a.example", "/"))
+}
+
+// Guards against a split whose shares drift from the weights.
+func TestSplitKeepsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 100), 1, 6).Draw(t, "weights")
+		shares, total := make([]dynamic.Share, len(weights)), 0
+		for i, w := range weights {
+			shares[i] = dynamic.Share{Service: string(rune('a' + i)), Weight: float64(w)}
+			total += w
+		}
+		const n = 1000
+		counts := map[string]int{}
+		split := NewSplit(shares)
+		for range n {
+			counts[split.Next()]++
+		}
+		for i, s := range shares {
+			want := 1 / float64(len(shares))
+			if total > 0 {
+				want = float64(weights[i]) / float64(total)
+			}
+			require.InDelta(t, want, float64(counts[s.Service])/n, 0.02)
+		}
+	})
+}
+
+// Guards against a change of settings that restarts every split, which would
+// skew the shares of a service that is configured often.
+func TestSplitSurvivesSameShares(t *testing.T) {
+	shares := []dynamic.Share{{Service: "a", Weight: 9}, {Service: "b", Weight: 1}}
+	r := dynamic.Route{Host: "h", PathPrefix: "/", Services: shares}
+	first := NewTable(nil, []dynamic.Route{r})
+	r.TimeoutMS = 5
+	second := NewTable(first, []dynamic.Route{r})
+	require.Same(t, first.Lookup("h", "/").split, second.Lookup("h", "/").split)
+	require.Equal(t, 5, second.Lookup("h", "/").TimeoutMS)
+	r.Services = []dynamic.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}
+	third := NewTable(second, []dynamic.Route{r})
+	require.NotSame(t, second.Lookup("h", "/").split, third.Lookup("h", "/").split)
+}
--- a/pkg/routing/server/list.go
+++ b/pkg/routing/server/list.go
@@ -44,6 +44,15 @@
 	Probed(now time.Duration, s *Server, r Report)
 }
 
+// Asker is a Policy that wants the load of its candidates before it decides.
+type Asker interface {
+	// Ask appends the backend servers to ask. far is false for the first
+	// question of a decision, which concerns the own failure domain, and true
+	// for the second one, which concerns the others and is only asked where
+	// the replies to the first promise too little.
+	Ask(now time.Duration, l *List, r *rand.Rand, far bool, exclude, out []*Server) []*Server
+}
+
 // List is one version of the backend servers of a service. The backend
 // servers of the own failure domain come first.
 type List struct {
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -13,13 +13,27 @@
 	Queued   int32         // requests that wait for a slot
 	Slots    int32         // requests that can run at once; 0: not stated
 	Latency  time.Duration // recent time from arrival to response; 0: not stated
+	Slowdown float64       // time that work takes now over the usual; 0: not stated
 }
 
 // Load is the number of requests at the backend server.
 func (r Report) Load() int32 { return r.Inflight + r.Queued }
 
 // Backend is one entry of the instance list.
-type Backend struct{ Address, FailureDomain string }
+type Backend struct {
+	Address, FailureDomain string
+	ID                     string        // identity that it accepts requests under; empty: not stated
+	Start                  string        // tells its starts under one identity apart
+	ColdFor                time.Duration // how much longer it is slow after its start
+}
+
+// Key identifies the entry, see Server.Key.
+func (b Backend) Key() string {
+	if b.ID == "" {
+		return b.Address
+	}
+	return b.Address + "/" + b.ID + "/" + b.Start
+}
 
 // Outcome is how an attempt ended.
 type Outcome uint8
@@ -50,6 +64,7 @@
 // load tolerates.
 type Server struct {
 	address, domain string
+	id, key         string
 	local           bool
 	shared          *Shared
 
@@ -62,8 +77,13 @@
 	inSlots  atomic.Int32
 	queued   atomic.Int32
 	slots    atomic.Int32
-	reported atomic.Int64 // report latency
-	reportAt atomic.Int64 // time of the report plus one; 0: none
+	reported atomic.Int64  // report latency
+	slowdown atomic.Uint64 // float64 bits
+	reportAt atomic.Int64  // time of the report plus one; 0: none
+	begun    atomic.Int32  // attempts begun since the report
+	asking   atomic.Int64  // time of the question under way plus one; 0: none
+	mute     atomic.Int64  // no reply to questions until this time
+	coldTill atomic.Int64
 	probedAt atomic.Int64 // time of the last probe plus one
 
 	endMu      sync.Mutex // serialises End's estimates
@@ -80,7 +100,7 @@
 
 // New returns a backend server without reports and with full weight.
 func New(b Backend, local bool, shared *Shared, limit int32) *Server {
-	s := &Server{address: b.Address, domain: b.FailureDomain, local: local, shared: shared}
+	s := &Server{address: b.Address, domain: b.FailureDomain, id: b.ID, key: b.Key(), local: local, shared: shared}
 	s.limit.Store(limit)
 	s.weight.Store(math.Float64bits(1))
 	return s
@@ -89,6 +109,10 @@
 // Address returns the IP:port of the backend server.
 func (s *Server) Address() string { return s.address }
 
+// ID returns the identity of this start of the backend server, empty if the list
+// does not state it.
+func (s *Server) ID() string { return s.id }
+
 // FailureDomain returns the failure domain of the backend server.
 func (s *Server) FailureDomain() string { return s.domain }
 
@@ -140,6 +164,7 @@
 		return false
 	}
 	s.picks.Add(1)
+	s.begun.Add(1)
 	if n == limit {
 		s.mark()
 	}
@@ -229,6 +254,10 @@
 	v.Store(math.Float64bits(old + (sample-old)*gain))
 }
 
+// Key identifies this start of the backend server: the address, with the identity
+// where the list states one. An address may pass to another backend server.
+func (s *Server) Key() string { return s.key }
+
 // Latency returns the smoothed latency of this instance's attempts; 0: none yet.
 func (s *Server) Latency() time.Duration {
 	return time.Duration(math.Float64frombits(s.latency.Load()))
@@ -272,9 +301,11 @@
 	s.queued.Store(r.Queued)
 	s.slots.Store(r.Slots)
 	s.reported.Store(int64(r.Latency))
+	s.slowdown.Store(math.Float64bits(r.Slowdown))
 	s.reportAt.Store(at)
+	s.begun.Store(0)
 	s.reportMu.Unlock()
-	s.shared.observeLoad(float64(r.Load()))
+	s.shared.observeReport(r)
 }
 
 // Reported returns the last report and its age; false: there is none.
@@ -283,7 +314,7 @@
 	if at == 0 {
 		return Report{}, 0, false
 	}
-	r := Report{Inflight: s.inSlots.Load(), Queued: s.queued.Load(), Slots: s.slots.Load(), Latency: time.Duration(s.reported.Load())}
+	r := Report{Inflight: s.inSlots.Load(), Queued: s.queued.Load(), Slots: s.slots.Load(), Latency: time.Duration(s.reported.Load()), Slowdown: math.Float64frombits(s.slowdown.Load())}
 	return r, max(0, now-time.Duration(at-1)), true
 }
 
--- a/pkg/routing/server/shared.go
+++ b/pkg/routing/server/shared.go
@@ -10,7 +10,8 @@
 type Shared struct {
 	load         atomic.Uint64 // float64 bits
 	latency      atomic.Uint64 // float64 bits, nanoseconds
-	near, far    atomic.Uint64 // the same for the own and for other failure domains
+	slowdown     atomic.Uint64 // float64 bits
+	near, far    atomic.Uint64 // the latency for the own and for other failure domains
 	errorLatency atomic.Int64
 	trust        trust
 }
@@ -40,7 +41,15 @@
 	return time.Duration(math.Float64frombits(s.latency.Load()))
 }
 
-func (s *Shared) observeLoad(load float64) { average(&s.load, load) }
+// MeanSlowdown returns the mean of the reported slowdowns; 0: none was stated.
+func (s *Shared) MeanSlowdown() float64 { return math.Float64frombits(s.slowdown.Load()) }
+
+func (s *Shared) observeReport(r Report) {
+	average(&s.load, float64(r.Load()))
+	if r.Slowdown > 0 {
+		average(&s.slowdown, r.Slowdown)
+	}
+}
 
 func (s *Shared) observeLatency(latency float64, local bool) {
 	average(&s.latency, latency)
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/routing/fresh"
 	"lentilpin/pkg/routing/leastoutstanding"
 	"lentilpin/pkg/routing/lentilpin"
 	"lentilpin/pkg/routing/p2c"
@@ -60,8 +61,8 @@
 	settings atomic.Pointer[state]
 	requests atomic.Uint64 // counted only for a policy with probes per request
 
-	mu     sync.Mutex // serialises Update and Configure
-	byAddr atomic.Pointer[map[string]*Server]
+	mu    sync.Mutex // serialises Update and Configure
+	byKey atomic.Pointer[map[string]*Server]
 }
 
 // state is what Configure replaces as a whole.
@@ -70,6 +71,7 @@
 	name     string
 	policy   server.Policy
 	listener server.ProbeListener // nil: the policy keeps no replies
+	asker    server.Asker         // nil: the policy decides without asking
 }
 
 // shards is the number of random sources. A decision takes the first one that
@@ -90,7 +92,7 @@
 		s.sources[i].rand = rand.New(rand.NewPCG(o.Seed, uint64(i)))
 	}
 	s.list.Store(server.NewList(nil, 0))
-	s.byAddr.Store(&map[string]*Server{})
+	s.byKey.Store(&map[string]*Server{})
 	if err := s.Configure(o.Settings); err != nil {
 		return nil, err
 	}
@@ -121,6 +123,7 @@
 		next.policy = policy
 	}
 	next.listener, _ = next.policy.(server.ProbeListener)
+	next.asker, _ = next.policy.(server.Asker)
 	s.shared.SetErrorLatency(errorLatency(settings))
 	s.settings.Store(next)
 	if old != nil && old.settings.PerInstance() != settings.PerInstance() {
@@ -138,6 +141,11 @@
 			Choices:            r.Choices,
 			CrossDomainPenalty: time.Duration(r.CrossDomainPenaltyMS * float64(time.Millisecond)),
 		}, s.shared), nil
+	case "fresh":
+		return fresh.New(fresh.Options{
+			MaxProbes: r.MaxProbes, CrossDomainPenalty: r.CrossDomainPenaltyRatio,
+			MaxAge: dynamic.MS(r.ReportMaxAgeMS),
+		}, s.shared), nil
 	case "prequal":
 		return prequal.New(), nil
 	case "random":
@@ -157,21 +165,25 @@
 
 // Update takes the instance list. A backend server that stays keeps its state.
 // Backend servers that are absent get no new work; their attempts go on.
-func (s *Set) Update(_ time.Duration, list []Backend) {
+func (s *Set) Update(now time.Duration, list []Backend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := *s.byAddr.Load(), map[string]*Server{}
+	old, known := *s.byKey.Load(), map[string]*Server{}
 	limit := int32(s.settings.Load().settings.PerInstance())
 	servers := make([]*Server, 0, len(list))
 	for _, b := range list {
-		if known[b.Address] != nil {
+		key := b.Key()
+		if known[key] != nil {
 			continue
 		}
-		x := old[b.Address]
+		x := old[key]
 		if x == nil || x.FailureDomain() != b.FailureDomain {
 			x = server.New(b, b.FailureDomain == s.options.FailureDomain, s.shared, limit)
 		}
-		known[b.Address] = x
+		if b.ColdFor > 0 {
+			x.SetCold(now, b.ColdFor)
+		}
+		known[key] = x
 		servers = append(servers, x)
 	}
 	slices.SortFunc(servers, func(a, b *Server) int {
@@ -181,14 +193,14 @@
 			}
 			return 1
 		}
-		return cmp.Or(strings.Compare(a.FailureDomain(), b.FailureDomain()), strings.Compare(a.Address(), b.Address()))
+		return cmp.Or(strings.Compare(a.FailureDomain(), b.FailureDomain()), strings.Compare(a.Key(), b.Key()))
 	})
 	local := 0
 	for local < len(servers) && servers[local].Local() {
 		local++
 	}
 	s.list.Store(server.NewList(servers, local))
-	s.byAddr.Store(&known)
+	s.byKey.Store(&known)
 }
 
 // attempts is how often a decision is repeated when another goroutine takes
@@ -219,6 +231,22 @@
 	return nil
 }
 
+// Asks reports whether the policy wants the load of candidates before it decides.
+func (s *Set) Asks() bool { return s.settings.Load().asker != nil }
+
+// Ask appends to out the backend servers that the policy wants to ask for their
+// load before it decides; far asks for those of other failure domains. A
+// policy that decides without asking wants none.
+func (s *Set) Ask(now time.Duration, far bool, exclude, out []*Server) []*Server {
+	st := s.settings.Load()
+	if st.asker == nil {
+		return out
+	}
+	src := s.lockSource()
+	defer src.mu.Unlock()
+	return st.asker.Ask(now, s.list.Load(), src.rand, far, exclude, out)
+}
+
 func (s *Set) lockSource() *source {
 	for i := range s.sources {
 		if s.sources[i].mu.TryLock() {
@@ -229,8 +257,8 @@
 	return &s.sources[0]
 }
 
-// Server returns the backend server with this address, or nil.
-func (s *Set) Server(address string) *Server { return (*s.byAddr.Load())[address] }
+// Server returns the backend server with this key, or nil.
+func (s *Set) Server(key string) *Server { return (*s.byKey.Load())[key] }
 
 // Servers returns all backend servers, those of the own failure domain first.
 // The slice must not be changed.
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -32,6 +32,7 @@
 	sequence uint64 // order in which the connections of a backend server were made
 	raw      syscall.RawConn
 	idleAt   time.Time
+	maxIdle  time.Duration // the backend server closes it after this; 0: not stated
 
 	written int64 // bytes of the request that the socket took
 	budget  int64 // bytes that may be read before the head of the response ends
@@ -139,7 +140,8 @@
 	timeout [1]string
 	agent   [1]string
 
-	exchange [1]string // value of ExchangeHeader
+	exchange [1]string // name of the exchange; empty: none was sent
+	expected [1]string // identity that the backend server is expected to have
 }
 
 type requestBody struct{ bytes.Reader }
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -22,6 +22,8 @@
 	maxResponseHeadBytes = 64 << 10  // interim responses included
 	maxResponseBytes     = 256 << 20 // body of one response
 	maxInterim           = 8         // 1xx responses before the final one
+	maxForeign           = 4         // responses of earlier exchanges before the own one
+	maxForeignBytes      = 1 << 20   // body of a response that is skipped
 )
 
 // Do sends the request to the backend server and returns the head of the
@@ -59,14 +61,14 @@
 	scratch  *scratch
 	stop     func() bool // ends the watch of the context; false if the context ended first
 	reusable bool        // framing and both sides permit another exchange
+	skipped  bool        // a response of an earlier exchange came first
 	response Response
 	body     body
 }
 
 func (x *exchange) run(ctx context.Context, address string, r *Request, s *dynamic.Service) (*Response, *Failure) {
 	names := x.pool.fieldNames(s)
-	x.scratch.exchange[0] = x.pool.prefix + strconv.FormatUint(x.pool.exchanges.Add(1), 36)
-	if err := x.scratch.prepare(ctx, address, r, names); err != nil {
+	if err := x.scratch.prepare(ctx, address, r, names, x.pool.nextExchange); err != nil {
 		return nil, x.fail(ctx, Timeout, err)
 	}
 	writeErr := x.write()
@@ -75,20 +77,23 @@
 	}
 	// A backend server that refuses a request early may answer and close
 	// before it has read the whole request.
-	head, err := x.readHead()
+	head, err := x.readOwnHead(r, names)
 	switch {
 	case err != nil && writeErr != nil:
 		return nil, x.fail(ctx, Write, writeErr)
 	case err != nil:
 		return nil, x.fail(ctx, Read, err)
 	}
-	x.reusable = writeErr == nil && !head.Close
-	if err := x.accept(r, head); err != nil {
+	x.reusable = writeErr == nil && !head.Close && !x.skipped
+	x.conn.maxIdle = keepAliveTimeout(head.Header)
+	if err := x.accept(r, head, names); err != nil {
 		return nil, x.fail(ctx, Malformed, err)
 	}
 	x.conn.budget = maxResponseBytes
 	x.response = Response{Status: head.StatusCode, Header: head.Header, ContentLength: head.ContentLength}
-	delete(head.Header, ExchangeHeader)
+	if names.ownExchange {
+		delete(head.Header, names.exchange)
+	}
 	x.response.Signals = names.takeSignals(head.StatusCode, head.Header)
 	removeHopByHop(head.Header)
 	if head.Body == http.NoBody || head.ContentLength == 0 || r.Method == http.MethodHead {
@@ -134,7 +139,7 @@
 }
 
 // prepare fills in the request without changing r.
-func (s *scratch) prepare(ctx context.Context, address string, r *Request, names *fieldNames) error {
+func (s *scratch) prepare(ctx context.Context, address string, r *Request, names *fieldNames, next func() string) error {
 	s.fields = len(r.Header)
 	for name, values := range r.Header {
 		s.header[name] = values
@@ -145,7 +150,7 @@
 		s.agent[0] = "" // keeps http.Request.Write from adding its own
 		s.header["User-Agent"] = s.agent[:]
 	}
-	s.header[ExchangeHeader] = s.exchange[:]
+	s.identify(r, names, next)
 	delete(s.header, names.timeout)
 	if deadline, ok := ctx.Deadline(); ok {
 		left := time.Until(deadline).Milliseconds()
@@ -176,6 +181,29 @@
 	return nil
 }
 
+// identify names the exchange and the backend server that is expected. A
+// request that carries the name of its exchange keeps it.
+func (s *scratch) identify(r *Request, names *fieldNames, next func() string) {
+	s.exchange[0] = ""
+	switch given := s.header[names.exchange]; {
+	case r.Probe && !names.ownExchange:
+		delete(s.header, names.exchange)
+	case !names.ownExchange && len(given) == 1 && given[0] != "":
+		s.exchange[0] = given[0]
+	default:
+		s.exchange[0] = next()
+		s.header[names.exchange] = s.exchange[:]
+	}
+	if names.expect == "" {
+		return
+	}
+	delete(s.header, names.expect)
+	if r.Instance != "" {
+		s.expected[0] = r.Instance
+		s.header[names.expect] = s.expected[:]
+	}
+}
+
 // write sends the request. Whether any byte left is in conn.written.
 func (x *exchange) write() error {
 	if err := x.scratch.request.Write(x.scratch.writer); err != nil {
@@ -188,6 +216,33 @@
 	return nil
 }
 
+// readOwnHead reads the head of the response to this request. Where responses
+// are signed, those of earlier exchanges that come first are skipped: a backend
+// server may answer a request twice, the second time late.
+func (x *exchange) readOwnHead(r *Request, names *fieldNames) (*http.Response, error) {
+	for range maxForeign {
+		head, err := x.readHead()
+		if err != nil || !names.signs() {
+			return head, err
+		}
+		got := head.Header.Get(names.exchange)
+		if got == x.scratch.exchange[0] || got == "" {
+			return head, nil
+		}
+		x.skipped = true
+		x.pool.recorder.Record(eventSkipped, events.F("address", x.conn.backend.address), events.F("exchange", got))
+		if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody {
+			return nil, ErrMismatch // it ends with the connection
+		}
+		x.conn.budget = maxForeignBytes
+		if _, err := io.Copy(io.Discard, head.Body); err != nil {
+			return nil, err
+		}
+		x.conn.budget = maxResponseHeadBytes
+	}
+	return nil, ErrMismatch
+}
+
 // readHead reads the head of the final response.
 func (x *exchange) readHead() (*http.Response, error) {
 	for range maxInterim {
@@ -209,17 +264,41 @@
 
 // accept refuses responses that cannot be shown to be whole or to belong to the
 // request.
-func (x *exchange) accept(r *Request, head *http.Response) error {
+func (x *exchange) accept(r *Request, head *http.Response, names *fieldNames) error {
 	if head.ContentLength > maxResponseBytes {
 		return ErrTooLarge
 	}
 	hasBody := r.Method != http.MethodHead && head.Body != http.NoBody
-	if hasBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0 {
+	if hasBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0 && !names.settings.Responses.Unframed {
 		return ErrUnframed
 	}
-	if got := head.Header[ExchangeHeader]; len(got) > 0 && (len(got) > 1 || got[0] != x.scratch.exchange[0]) {
-		x.pool.recorder.Record(eventMismatch, events.F("address", x.conn.backend.address))
+	if err := x.verify(r, head, names); err != nil {
+		x.pool.recorder.Record(eventMismatch, events.F("address", x.conn.backend.address), events.F("error", err.Error()))
+		return err
+	}
+	return nil
+}
+
+// verify checks that the response belongs to the request.
+func (x *exchange) verify(r *Request, head *http.Response, names *fieldNames) error {
+	got := head.Header[names.exchange]
+	own := len(got) == 1 && got[0] == x.scratch.exchange[0]
+	switch {
+	case len(got) > 0 && !own:
+		return ErrMismatch
+	case !names.signs():
+		return nil
+	case r.Probe && names.instance != "":
+		if id := head.Header.Get(names.instance); id != "" && r.Instance != "" && id != r.Instance {
+			return ErrOtherInstance
+		}
+		return nil
+	case head.StatusCode >= http.StatusMultipleChoices:
+		return nil
+	case !own:
 		return ErrMismatch
+	case head.Header.Get(names.signature) == "":
+		return ErrUnsigned
 	}
 	return nil
 }
--- a/pkg/transport/header.go
+++ b/pkg/transport/header.go
@@ -3,9 +3,12 @@
 import (
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
+	"time"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/routing"
 )
 
 // hopByHop are the fields of one connection (RFC 9110, section 7.6.1) and the
@@ -30,42 +33,87 @@
 }
 
 // fieldNames are the configured field names in canonical form, kept with the
-// settings that they come from.
+// settings that they come from. An empty name is a field that is not used.
 type fieldNames struct {
 	settings                         *dynamic.Service
 	loadReport, state, shed, timeout string
+	exchange, expect                 string
+	instance, signature              string
+	ownExchange                      bool // callers do not know the exchange field
 }
 
 func newFieldNames(s *dynamic.Service) *fieldNames {
+	h := &s.Headers
 	return &fieldNames{
-		settings:   s,
-		loadReport: textproto.CanonicalMIMEHeaderKey(s.Headers.LoadReport),
-		state:      textproto.CanonicalMIMEHeaderKey(s.Headers.State),
-		shed:       textproto.CanonicalMIMEHeaderKey(s.Headers.Shed),
-		timeout:    textproto.CanonicalMIMEHeaderKey(s.Headers.Timeout),
+		settings:    s,
+		loadReport:  textproto.CanonicalMIMEHeaderKey(h.LoadReport),
+		state:       textproto.CanonicalMIMEHeaderKey(h.State),
+		shed:        textproto.CanonicalMIMEHeaderKey(h.Shed),
+		timeout:     textproto.CanonicalMIMEHeaderKey(h.Timeout),
+		exchange:    textproto.CanonicalMIMEHeaderKey(h.Exchange),
+		expect:      textproto.CanonicalMIMEHeaderKey(h.ExpectInstance),
+		instance:    textproto.CanonicalMIMEHeaderKey(h.Instance),
+		signature:   textproto.CanonicalMIMEHeaderKey(h.Signature),
+		ownExchange: h.Exchange == ExchangeHeader,
 	}
 }
 
-const (
-	stateDraining = "draining"
-	shedNotRun    = "not-run"
-)
+// signs reports whether backend servers prove which request a response belongs
+// to, so that a response of another exchange can be told from that of this one.
+func (n *fieldNames) signs() bool { return n.signature != "" }
+
+const stateDraining = "draining"
 
 // takeSignals reads the signals of a response and removes their fields, which
 // are meant for the entry and not for the caller.
 func (n *fieldNames) takeSignals(status int, h http.Header) Signals {
 	var s Signals
 	if v := h[n.loadReport]; len(v) == 1 {
-		s.Report, s.HasReport = ParseReport(v[0])
+		s.Report, s.HasReport = n.parseReport(v[0])
 	}
 	if v := h[n.state]; len(v) > 0 {
 		s.Draining = strings.EqualFold(strings.TrimSpace(v[0]), stateDraining)
 	}
-	if v := h[n.shed]; len(v) == 1 && status == http.StatusServiceUnavailable {
-		s.Shed = strings.EqualFold(strings.TrimSpace(v[0]), shedNotRun)
-	}
+	s.Misdirected = n.expect != "" && status == http.StatusMisdirectedRequest
+	s.Shed = s.Misdirected || n.isShed(status, h[n.shed])
 	delete(h, n.loadReport)
 	delete(h, n.state)
 	delete(h, n.shed)
 	return s
 }
+
+// isShed reports whether the field says that the request did not run.
+func (n *fieldNames) isShed(status int, values []string) bool {
+	if len(values) != 1 {
+		return false
+	}
+	want := n.settings.Headers.ShedValue
+	if want == "" {
+		return status >= http.StatusBadRequest
+	}
+	return status == http.StatusServiceUnavailable && strings.EqualFold(strings.TrimSpace(values[0]), want)
+}
+
+func (n *fieldNames) parseReport(text string) (routing.Report, bool) {
+	if n.settings.Responses.ReportFormat == dynamic.ReportCounts {
+		return ParseCounts(text)
+	}
+	return ParseReport(text)
+}
+
+// keepAliveTimeout returns the time after which the backend server closes the
+// idle connection, 0 if it does not say.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for _, line := range h["Keep-Alive"] {
+		for field := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if n, err := strconv.ParseUint(strings.TrimSpace(value), 10, 31); err == nil {
+				return time.Duration(n) * time.Second
+			}
+		}
+	}
+	return 0
+}
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -29,6 +29,10 @@
 	// reuse and not the next request.
 	restTime = time.Millisecond
 
+	// closeMargin is how long before the stated end of an idle connection it is
+	// no longer used, so that a request does not cross the close on its way.
+	closeMargin = time.Second
+
 	// unsolicitedHold is how long connections to a backend server are not
 	// reused after it sent bytes that belong to no request.
 	unsolicitedHold = time.Minute
@@ -85,6 +89,11 @@
 	return p
 }
 
+// nextExchange returns a name that no other exchange of any pool has.
+func (p *Pool) nextExchange() string {
+	return p.prefix + strconv.FormatUint(p.exchanges.Add(1), 36)
+}
+
 func (p *Pool) fieldNames(s *dynamic.Service) *fieldNames {
 	if n := p.names.Load(); n != nil && n.settings == s {
 		return n
@@ -183,7 +192,7 @@
 	// that the sweep does not forget the backend server meanwhile.
 	place := false
 	for {
-		c := b.takeIdle(idempotent, place || b.open < s.PerInstance())
+		c := b.takeIdle(idempotent, place || b.open < s.PerInstance(), s)
 		if c == nil {
 			break
 		}
@@ -232,17 +241,23 @@
 
 // takeIdle makes the most recently used idle connection that has rested active
 // and returns it. If no other connection can be made, the one that has rested
-// longest will do. b.mu is held.
-func (b *backend) takeIdle(idempotent, canConnect bool) *conn {
+// longest will do. Where responses are signed, none needs to rest, because a
+// second response is recognised. b.mu is held.
+func (b *backend) takeIdle(idempotent, canConnect bool, s *dynamic.Service) *conn {
 	now := time.Now()
 	longest := -1
+	rests := s.Headers.Signature == ""
 	for i := len(b.idle) - 1; i >= 0; i-- {
-		age := now.Sub(b.idle[i].idleAt)
+		c := b.idle[i]
+		age := now.Sub(c.idleAt)
 		if !idempotent && age >= freshIdle {
 			break
 		}
+		if c.maxIdle > 0 && age >= c.maxIdle-closeMargin {
+			continue
+		}
 		longest = i
-		if age >= restTime {
+		if !rests || age >= restTime {
 			break
 		}
 		if canConnect {
@@ -350,11 +365,16 @@
 }
 
 // holdReuse stops reuse for a while if the backend server sent bytes that
-// belong to no request. b.mu is held.
+// belong to no request. Where responses are signed a late one is recognised, so
+// that closing the connection suffices. b.mu is held.
 func (b *backend) holdReuse(unsolicited bool) {
 	if !unsolicited {
 		return
 	}
+	if b.pool.settings().Headers.Signature != "" {
+		b.pool.recorder.Record(eventExtra, events.F("address", b.address))
+		return
+	}
 	b.noReuseTill = time.Now().Add(unsolicitedHold)
 	for _, c := range b.idle {
 		_ = c.Conn.Close()
--- a/pkg/transport/report.go
+++ b/pkg/transport/report.go
@@ -83,3 +83,33 @@
 	}
 	return time.Duration(f * float64(time.Millisecond)), true
 }
+
+// countFields is the number of fields of the short form, the slowdown included.
+const countFields = 4
+
+// ParseCounts reads the short form of a load report: the numbers of requests
+// that run, that wait, and of slots, then optionally the time that work takes
+// at this moment in percent of the usual. Further fields are ignored. It returns
+// false where a field is missing, negative or no number.
+func ParseCounts(text string) (routing.Report, bool) {
+	if len(text) > maxReportBytes {
+		return routing.Report{}, false
+	}
+	var values [countFields]int32
+	n := 0
+	for field := range strings.SplitSeq(text, ",") {
+		if n == countFields {
+			break
+		}
+		v, ok := parseCount(strings.TrimSpace(field))
+		if !ok {
+			return routing.Report{}, false
+		}
+		values[n] = v
+		n++
+	}
+	if n < countFields-1 {
+		return routing.Report{}, false
+	}
+	return routing.Report{Inflight: values[0], Queued: values[1], Slots: values[2], Slowdown: float64(values[3]) / 100}, true
+}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -20,11 +20,14 @@
 	ErrUnframed        = errors.New("response does not state its length")
 	ErrMismatch        = errors.New("response belongs to another exchange")
 	ErrInvalidRequest  = errors.New("request cannot be sent")
+	ErrUnsigned        = errors.New("response without the signature of a backend server")
+	ErrOtherInstance   = errors.New("another backend server has the address")
 )
 
-// ExchangeHeader names one exchange of one pool. It is set on every request. A
-// backend server may return it; a response that carries another value than its
-// request is refused.
+// ExchangeHeader is the default of the setting headers.exchange, the field that
+// names one exchange. It is set on every request. A backend server may return
+// it; a response that carries another value than its request is refused, or
+// skipped where responses are signed.
 const ExchangeHeader = "Lentilpin-Exchange"
 
 // Request is one request to a backend server. Do does not change it.
@@ -34,7 +37,9 @@
 	Host       string
 	Header     http.Header // hop-by-hop fields are not sent
 	Body       []byte
-	Idempotent bool // permits connections that were idle for long
+	Idempotent bool   // permits connections that were idle for long
+	Instance   string // identity that the backend server is expected to have; empty: any
+	Probe      bool   // a question of the entry itself: it names no exchange and its response is not signed
 }
 
 // Signals is what a response says about its backend server.
@@ -42,7 +47,10 @@
 	Report    routing.Report
 	HasReport bool
 	Draining  bool // the backend server is leaving
-	Shed      bool // stated on a 503: shed before running, the request was not run
+	Shed      bool // the backend server stated that the request was not run
+	// Misdirected is set where another backend server has the address; it
+	// implies Shed.
+	Misdirected bool
 }
 
 // Response is the head of a response. Body must be read to its end or closed.
