--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -75,7 +75,7 @@
 	})
 	b.Run(fmt.Sprintf("second-busy/entries=%d/services=%d", ceiling, services), func(b *testing.B) {
 		benchmarkSecond(b, g, func() {
-			for _, s := range g.services.Load().list {
+			for _, s := range g.current.Load().list {
 				s.lastUse.Store(int64(s.now()))
 			}
 		})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -79,10 +79,8 @@
 	start    time.Time
 	prefix   string
 	sequence atomic.Uint64
-	services atomic.Pointer[services]
-	routes   atomic.Pointer[route.Table]
-	callers  atomic.Pointer[callerRules]
-	updateMu sync.Mutex // serialises changes of services
+	current  atomic.Pointer[snapshot]
+	updateMu sync.Mutex // serialises changes of the snapshot
 	list     []platform.Instance
 
 	listed     atomic.Bool // an instance list was read
@@ -102,8 +100,7 @@
 		prefix:   fmt.Sprintf("%s-%016x-", o.Instance, o.Incarnation),
 		accepted: o.Scope.Counter("requests_accepted"),
 	}
-	g.services.Store(&services{})
-	g.callers.Store(newCallerRules(&dynamic.Callers{}))
+	g.current.Store(&snapshot{callers: newCallerRules(&dynamic.Callers{})})
 	o.Store.Subscribe(g.adopt)
 	return g
 }
@@ -115,12 +112,16 @@
 }
 
 func (g *Gateway) service(name string) *service {
-	return g.services.Load().byName[name]
+	return g.current.Load().byName[name]
 }
 
-func (g *Gateway) ready() (bool, string) {
+// ready reports whether requests may be served. The settings store knows a
+// version before the gateway has adopted it.
+func (g *Gateway) ready(now *snapshot) (bool, string) {
 	ok, reason := g.o.Ready()
 	switch {
+	case !now.adopted:
+		return false, reasonNotReady
 	case ok:
 		return true, ""
 	case reason == membership.ReasonUnconfirmed:
@@ -144,11 +145,9 @@
 			next[name] = s
 		}
 	}
-	old := g.services.Load().list
-	g.services.Store(newServices(next))
-	g.routes.Store(route.NewTable(g.routes.Load(), tree.Routes))
-	g.callers.Store(newCallerRules(&tree.Callers))
-	for _, s := range old {
+	old := g.current.Load()
+	g.current.Store(newSnapshot(next, route.NewTable(old.routes, tree.Routes), &tree.Callers))
+	for _, s := range old.list {
 		if next[s.name] == nil {
 			s.pool.Close()
 		}
@@ -204,14 +203,14 @@
 		}
 		live[i.Service] = append(live[i.Service], b)
 	}
-	for _, s := range g.services.Load().list {
+	for _, s := range g.current.Load().list {
 		s.update(live[s.name], leaving[s.name])
 	}
 }
 
-// HasInstances reports whether an instance list was read, without which there
-// is no backend server to send work to.
-func (g *Gateway) HasInstances() bool { return g.listed.Load() }
+// HasInstances reports whether an instance list was read and a settings tree
+// adopted, without which there is no backend server to send work to.
+func (g *Gateway) HasInstances() bool { return g.listed.Load() && g.current.Load().adopted }
 
 // Drain makes the gateway ask callers to close their connections. New requests
 // are still served, because the platform's balancer learns of the drain late.
@@ -225,7 +224,7 @@
 
 // Close closes the connections to backend servers.
 func (g *Gateway) Close() {
-	for _, s := range g.services.Load().list {
+	for _, s := range g.current.Load().list {
 		s.pool.Close()
 	}
 }
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -2,28 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
 
-// services are the services of the settings in force.
-type services struct {
-	byName map[string]*service
-	list   []*service // in the order of the names
-}
-
-func newServices(byName map[string]*service) *services {
-	out := &services{byName: byName}
-	for _, name := range slices.Sorted(maps.Keys(byName)) {
-		out.list = append(out.list, byName[name])
-	}
-	return out
-}
-
 // part returns the services whose turn is at a tick.
-func (s *services) part(tick int) []*service {
+func (s *snapshot) part(tick int) []*service {
 	n, i := len(s.list), tick%roundTicks
 	return s.list[n*i/roundTicks : n*(i+1)/roundTicks]
 }
@@ -50,7 +34,7 @@
 func (g *Gateway) visit(ctx context.Context, tick int, probes *sync.WaitGroup) {
 	suspended := g.o.OrdinalConflict()
 	isSlowRound := tick/roundTicks%idleRounds == 0
-	for _, s := range g.services.Load().part(tick) {
+	for _, s := range g.current.Load().part(tick) {
 		idle := s.isIdle()
 		if idle && !isSlowRound {
 			continue
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -33,6 +33,7 @@
 	id          string
 	started     time.Time
 	svc         *service
+	now         *snapshot // settings in force when the request came
 	rules       *callerRules
 	route       *route.Route     // nil: the first path segment named the service
 	settings    *dynamic.Service // one snapshot for the whole request
@@ -46,7 +47,8 @@
 
 // serve takes one request from acceptance to its only outcome.
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request) {
-	c := &call{g: g, w: w, r: r, started: time.Now(), rules: g.callers.Load()}
+	c := &call{g: g, w: w, r: r, started: time.Now(), now: g.current.Load()}
+	c.rules = c.now.callers
 	given := c.identify()
 	c.rec = audit.Record{RequestID: c.id, Method: r.Method, Start: c.started, KeyState: keyNone}
 	if r.Header.Get(headerIdempotencyKey) != "" {
@@ -147,7 +149,7 @@
 		c.w.Header().Set("Connection", "close")
 		return c.refuseUnclaimed(http.StatusBadRequest, reasonMalformed, "the request has both Content-Length and Transfer-Encoding"), false
 	}
-	if ok, reason := c.g.ready(); !ok {
+	if ok, reason := c.g.ready(c.now); !ok {
 		return c.refuseUnclaimed(http.StatusServiceUnavailable, reason, "this entry does not serve now; another one may").retryLater(), false
 	}
 	if res, ok := c.locate(); !ok {
@@ -201,10 +203,10 @@
 // locate finds the route and the service of the request. Where the settings
 // state no routes, the first segment of the path names the service.
 func (c *call) locate() (result, bool) {
-	routes := c.g.routes.Load()
+	routes := c.now.routes
 	if routes.IsEmpty() {
 		c.rec.Service, _, _ = strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
-		if c.svc = c.g.service(c.rec.Service); c.svc == nil {
+		if c.svc = c.now.byName[c.rec.Service]; c.svc == nil {
 			return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownService, "no such service in this region"), false
 		}
 		return result{}, true
@@ -214,7 +216,7 @@
 		return c.refuseUnclaimed(http.StatusNotFound, reasonUnknownRoute, "no route for this host and path"), false
 	}
 	c.rec.Service = c.route.Service()
-	if c.svc = c.g.service(c.rec.Service); c.svc == nil {
+	if c.svc = c.now.byName[c.rec.Service]; c.svc == nil {
 		return c.refuseUnclaimed(http.StatusServiceUnavailable, reasonUnknownService, "the service of the route is not known here").retryLater(), false
 	}
 	return result{}, true
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -82,7 +82,7 @@
 // used at any of them.
 func (g *Gateway) keyLifetime() time.Duration {
 	lifetime := defaultKeyLifetime
-	for _, s := range g.services.Load().list {
+	for _, s := range g.current.Load().list {
 		lifetime = min(lifetime, dynamic.MS(s.settings.Load().Keys.LifetimeMS))
 	}
 	return lifetime
--- a/pkg/gateway/source.go
+++ b/pkg/gateway/source.go
@@ -20,7 +20,7 @@
 func (s *Source) Drains() []*peerpb.DrainMark {
 	var out []*peerpb.DrainMark
 	now := s.g.now()
-	for _, svc := range s.g.services.Load().list {
+	for _, svc := range s.g.current.Load().list {
 		for _, m := range svc.outliers.Marks(now) {
 			out = append(out, &peerpb.DrainMark{Service: svc.name, Address: m.Address, AgeMs: uint32((now - m.Seen).Milliseconds())})
 		}
@@ -31,7 +31,7 @@
 // Quarantines implements membership.Source.
 func (s *Source) Quarantines() []*peerpb.Quarantine {
 	var out []*peerpb.Quarantine
-	for _, svc := range s.g.services.Load().list {
+	for _, svc := range s.g.current.Load().list {
 		for _, e := range svc.quarantine.Active(s.g.now()) {
 			out = append(out, &peerpb.Quarantine{Service: svc.name, Fingerprint: e.Fingerprint, RemainingMs: uint32(e.Remaining.Milliseconds())})
 		}
@@ -43,7 +43,7 @@
 // dropped: the sender may have newer settings.
 func (s *Source) Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine) {
 	now := s.g.now()
-	services := s.g.services.Load().byName
+	services := s.g.current.Load().byName
 	for _, d := range drains {
 		if svc := services[d.GetService()]; svc != nil {
 			svc.outliers.Merge(now, now-ms(d.GetAgeMs()), d.GetAddress(), "peer")
--- a/pkg/gateway/view.go
+++ b/pkg/gateway/view.go
@@ -28,7 +28,7 @@
 func (g *Gateway) Draining() []operator.Drain {
 	out := []operator.Drain{}
 	now := g.now()
-	for _, s := range g.services.Load().list {
+	for _, s := range g.current.Load().list {
 		for _, m := range s.outliers.Marks(now) {
 			out = append(out, operator.Drain{Service: s.name, Address: m.Address, Source: m.Source, Age: now - m.Seen})
 		}
@@ -39,7 +39,7 @@
 // Measuring returns the cost of measuring each service.
 func (g *Gateway) Measuring() []operator.Measuring {
 	out := []operator.Measuring{}
-	for _, s := range g.services.Load().list {
+	for _, s := range g.current.Load().list {
 		out = append(out, operator.DescribeMeasuring(s.name, g.start, s.settings.Load(), s.budgets))
 	}
 	return out
--- /dev/null
+++ b/standin/signed/signed.go
@@ -0,0 +1,118 @@
+// Package signed is a stand-in for a backend server of the users' platform, for
+// tests: it has an identity, states its load, proves its responses and counts
+// the runs of each request.
+package signed
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+)
+
+// Run is one request that a backend server has run.
+type Run struct {
+	ID, Method, Target, Body, Deadline string
+}
+
+// Backend is a running stand-in.
+type Backend struct {
+	ID     string
+	server *httptest.Server
+
+	mu     sync.Mutex
+	runs   []Run
+	probes int
+	script func(w http.ResponseWriter, r *http.Request) bool
+	load   string
+}
+
+// New starts a backend server on a loopback address.
+func New(id string) *Backend {
+	b := &Backend{ID: id, load: "0,0,6,100"}
+	b.server = httptest.NewServer(b)
+	return b
+}
+
+// Close stops the backend server.
+func (b *Backend) Close() {
+	b.server.CloseClientConnections()
+	b.server.Close()
+}
+
+// Address returns the IP:port.
+func (b *Backend) Address() string { return b.server.Listener.Addr().String() }
+
+// Registration returns what the backend server writes into the store.
+func (b *Backend) Registration(service, zone, state string) []byte {
+	return fmt.Appendf(nil, `{"address":%q,"born":1700000000000,"info":{"service":%q,"version":"v1","zone":%q,"slots":6},"status":{"state":%q,"seq":1,"warmup-left-ms":0}}`,
+		b.Address(), service, zone, state)
+}
+
+// SetScript runs before each request; where it returns true it has answered.
+func (b *Backend) SetScript(script func(w http.ResponseWriter, r *http.Request) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.script = script
+}
+
+// SetLoad changes the load report.
+func (b *Backend) SetLoad(load string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load = load
+}
+
+// Runs returns what was run so far.
+func (b *Backend) Runs() []Run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Run(nil), b.runs...)
+}
+
+// Probes returns the number of questions for the load.
+func (b *Backend) Probes() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.probes
+}
+
+// ServeHTTP implements http.Handler.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.mu.Lock()
+	script, load := b.script, b.load
+	b.mu.Unlock()
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.ID {
+		w.Header().Set("Instance-Id", b.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Backend-Load", load)
+	if r.URL.Path == "/health" {
+		b.mu.Lock()
+		b.probes++
+		b.mu.Unlock()
+		w.Header().Set("Instance-Id", b.ID)
+		return
+	}
+	if script != nil && script(w, r) {
+		return
+	}
+	b.Run(w, r)
+}
+
+// Run runs the request and answers it.
+func (b *Backend) Run(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get("Request-Id")
+	b.mu.Lock()
+	b.runs = append(b.runs, Run{ID: id, Method: r.Method, Target: r.RequestURI, Body: string(body), Deadline: r.Header.Get("Deadline-Ms")})
+	b.mu.Unlock()
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Backend-Signature", "signed by "+b.ID)
+	_, _ = io.WriteString(w, "answer to "+id) // the caller may be gone
+}
