Let two entries of a failure domain read the store for the others

On the grown sites entries knew only the three seeds for good: a seed that all others ask at once has no budget left for records in its replies. A connection to each backend server of the failure domain was idle for longer than it is kept (16965 new connections for 18329 requests). Ruled out: longer waits alone (a lost answer is noticed only after the wait); sending the list with every exchange (bytes between failure domains cost more than the calls); records not heard of for 8 s as a sign of a dead reader (in a large fleet they are rarely heard of). Change: pkg/feed decides who reads the store and who waits at a relay; drpc call Changes; membership introduces some records to an instance that it meets for the first time; the policy fresh chooses from 12 near and 6 far backend servers by affinity and asks others of the own failure domain before it leaves it. platform/ keeps calls and translation only. TestLargeFleetMeetsThroughSeeds fails on the former code (3 of 107 instances after 20 s).

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -15,7 +15,6 @@
 	"lentilpin/pkg/buildinfo"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/entry"
-	"lentilpin/pkg/events"
 	"lentilpin/platform"
 )
 
@@ -29,7 +28,7 @@
 	flaggy.Bool(&checkOnly, "", "check", "check the settings file and exit")
 	flaggy.Parse()
 
-	conf, connect, err := load(path)
+	e, listen, err := assemble(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitUsage)
@@ -37,42 +36,56 @@
 	if checkOnly {
 		return
 	}
-	if err := run(conf, connect); err != nil {
+	if err := run(e, listen); err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitFailure)
 	}
 }
 
-// load reads the settings file at path or, without one, the file that the users'
-// platform has prepared. connect is nil for the configuration service that the
-// settings name.
-func load(path string) (conf *static.Settings, connect func(events.Recorder) entry.Platform, err error) {
+// assemble makes the entry that the settings file at path describes or, without
+// one, the file that the users' platform has prepared.
+func assemble(path string) (*entry.Entry, static.Listen, error) {
 	if path != "" {
-		conf, err = static.Load(path)
-		return conf, nil, err
+		conf, err := static.Load(path)
+		if err != nil {
+			return nil, static.Listen{}, err
+		}
+		log, err := logger(conf)
+		if err != nil {
+			return nil, static.Listen{}, err
+		}
+		return entry.New(conf, log), conf.Listen, nil
 	}
 	prepared := platform.SettingsPath()
 	if prepared == "" {
-		return nil, nil, errors.New("no settings file given; use --settings FILE")
+		return nil, static.Listen{}, errors.New("no settings file given; use --settings FILE")
 	}
 	s, err := platform.LoadSettings(prepared)
 	if err != nil {
-		return nil, nil, err
+		return nil, static.Listen{}, err
 	}
-	return s.Entry, func(rec events.Recorder) entry.Platform { return platform.NewClient(s, rec) }, nil
+	log, err := logger(s.Entry)
+	if err != nil {
+		return nil, static.Listen{}, err
+	}
+	return entry.NewOn(s.Entry, log, platform.NewClient(s), platform.Translator{Regions: s.Regions}), s.Entry.Listen, nil
 }
 
-// run serves until the first signal asks for a graceful shutdown. The second
-// signal ends the process at once.
-func run(conf *static.Settings, connect func(events.Recorder) entry.Platform) error {
-	log := logrus.New()
+// logger returns the logger that the settings ask for.
+func logger(conf *static.Settings) (*logrus.Logger, error) {
 	level, err := logrus.ParseLevel(conf.LogLevel)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	log := logrus.New()
 	log.SetLevel(level)
 	log.SetFormatter(&logrus.JSONFormatter{})
+	return log, nil
+}
 
+// run serves until the first signal asks for a graceful shutdown. The second
+// signal ends the process at once.
+func run(e *entry.Entry, listen static.Listen) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -84,12 +97,9 @@
 		<-signals
 		os.Exit(buildinfo.ExitAborted)
 	}()
-	listeners, err := entry.Listen(ctx, conf.Listen)
+	listeners, err := entry.Listen(ctx, listen)
 	if err != nil {
 		return err
 	}
-	if connect != nil {
-		return entry.NewOn(conf, log, connect).Run(ctx, listeners)
-	}
-	return entry.New(conf, log).Run(ctx, listeners)
+	return e.Run(ctx, listeners)
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -10,6 +10,7 @@
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
+	"lentilpin/pkg/feed"
 	"lentilpin/pkg/gateway"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/membership"
@@ -29,6 +30,7 @@
 	store    *settings.Store
 	client   *peer.Client
 	platform Platform
+	feed     *feed.Reader // nil where the platform has no store
 	table    *membership.Table
 	runner   *membership.Runner
 	owner    *ledger.Owner
@@ -47,13 +49,24 @@
 // New assembles an entry that reads from the configuration service that the
 // settings name. Nothing runs before Run.
 func New(conf *static.Settings, log *logrus.Logger) *Entry {
-	return NewOn(conf, log, func(rec events.Recorder) Platform {
-		return platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, rec)
+	return assemble(conf, log, func(e *Entry) Platform {
+		return platform.NewClient(conf.Platform, conf.Limits.MaxTreeBytes, e.rec)
 	})
 }
 
-// NewOn is New for another platform, whose client connect makes.
-func NewOn(conf *static.Settings, log *logrus.Logger, connect func(events.Recorder) Platform) *Entry {
+// NewOn is New for a platform with a store that holds the settings tree and the
+// registrations of backend servers.
+func NewOn(conf *static.Settings, log *logrus.Logger, store feed.Store, translator feed.Translator) *Entry {
+	return assemble(conf, log, func(e *Entry) Platform {
+		e.feed = feed.NewReader(feed.Options{
+			Store: store, Translator: translator, Recorder: e.rec, Peers: changes{e},
+			Relays: func(skip func(string) bool) ([]string, bool) { return e.table.Readers(feed.Readers, skip) },
+		})
+		return e.feed
+	})
+}
+
+func assemble(conf *static.Settings, log *logrus.Logger, connect func(*Entry) Platform) *Entry {
 	e := &Entry{conf: conf}
 	e.log = audit.New(conf.Limits.RequestRecords, conf.Limits.AuditRecords)
 	e.rec = events.NewLogger(log, e.log)
@@ -63,7 +76,7 @@
 	keyring := ledger.NewKeyring(conf.Secrets.KeySigning)
 
 	e.store = settings.NewStore(e.rec, c)
-	e.platform = connect(e.rec)
+	e.platform = connect(e)
 	e.client = peer.NewClient(e.peerOptions())
 	e.owner = ledger.NewOwner(ledger.OwnerOptions{
 		Address: conf.Listen.Peers, Incarnation: e.incarnation, Clock: c,
--- /dev/null
+++ b/pkg/feed/doc.go
@@ -0,0 +1,28 @@
+// Package feed keeps an entry informed of what the platform's store holds: the
+// settings tree and the registrations of backend servers.
+//
+// A store counts every call, and its rates grow more slowly than the fleet, so
+// not every entry reads it. In each failure domain two entries, those that come
+// first by rank (membership.Table.Readers), wait for changes at the store and
+// keep the newest ones in a log. The others wait for changes at one of these
+// two: a relay hands out its log by revision, as the store does. A relay that
+// does not answer within a second, or that has lost touch with the store itself,
+// is avoided for a while and the entry reads the store on its own. The ranks of
+// two entries may differ while they learn of each other; this costs calls and
+// nothing else.
+//
+// An entry starts with a stale read of everything, which is cheap, and then
+// takes the changes since, so that what it knows is exact before it is used. A
+// lost history, a lost answer or an unreachable store start it over. Where the
+// store cannot be reached at the start, a relay hands out all that it knows.
+//
+// Registrations lapse while the store is away although the backend servers are
+// alive. Where half of a service's vanish at once while calls fail, they stay
+// listed for two seconds, by which time those that are alive are back.
+//
+// Messages: peerpb.Changes. State: the newest value of each key, the log of
+// changes; both are lost on exit and read again.
+//
+// Tests: feed_test.go plays readers and relays against a store in virtual time
+// with faults drawn at random, and compares with the store at the end.
+package feed
--- a/pkg/gateway/consult.go
+++ b/pkg/gateway/consult.go
@@ -18,17 +18,20 @@
 )
 
 // consult asks the backend servers that the policy wants to know more about
-// before it decides: those of the own failure domain, then, where they promise
-// too little, others.
+// before it decides: some of the own failure domain, then, where they promise too
+// little, others of it, then those of other failure domains.
 func (c *call) consult(ctx context.Context, exclude []*routing.Server) {
 	if !c.svc.set.Asks() {
 		return
 	}
 	var room [typicalAsked]*routing.Server
-	near := c.svc.set.Ask(c.g.now(), false, exclude, room[:0])
-	c.svc.askAll(ctx, near, nearPatience)
-	far := c.svc.set.Ask(c.g.now(), true, exclude, room[:0])
-	c.svc.askAll(ctx, far, farPatience)
+	for round := range routing.Rounds {
+		patience := nearPatience
+		if round == routing.Far {
+			patience = farPatience
+		}
+		c.svc.askAll(ctx, c.svc.set.Ask(c.g.now(), round, exclude, room[:0]), patience)
+	}
 }
 
 // askAll asks backend servers for their load and waits until all have replied,
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -236,6 +236,20 @@
 	})
 }
 
+// Guards against instances of a large fleet that know nobody but the seeds for
+// good, because the seeds' budget has no room for records while all others ask
+// them. A bench day with 107 instances showed it.
+func TestLargeFleetMeetsThroughSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 107
+		f := newFleet(1, size, 3)
+		f.listLate = true
+		f.bootAll()
+		defer f.stopAll()
+		f.within(t, 20*time.Second, func(n *node) bool { return len(n.table.Members()) > size/2 })
+	})
+}
+
 // Guards against a change, a drain mark or a successor that does not reach
 // everyone within seconds of virtual time from one instance, the service being down, and against a live instance
 // that is forgotten. Logs what the exchange costs.
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -13,6 +13,11 @@
 	maxExchangeBytes = 64<<10 - 1024 // the limit of the call with room for its framing
 	smallBytes       = 1024          // of a notice or a question; header and own record are about 200
 	fieldBytes       = 4             // tag and length of one element
+	// introduceBytes is room for some records in the reply to an instance that
+	// was not known before, whatever the budget says: the few seeds of a large
+	// fleet are asked by all others at once when it starts, and an instance
+	// that hears of nobody else goes on asking only them.
+	introduceBytes = 4 * recordBytes
 )
 
 // Source is what the gateway shares with other entries. Ages are relative to
@@ -72,11 +77,14 @@
 
 // compose fills a message. Drain marks and quarantined fingerprints come
 // before the rest, because they keep work away from backend servers.
-func (t *Table) compose(now time.Duration, s shared, small bool) *peerpb.ExchangeRequest {
+func (t *Table) compose(now time.Duration, s shared, small, introduce bool) *peerpb.ExchangeRequest {
 	own := t.ownRecord()
 	m := &peerpb.ExchangeRequest{Header: t.header(), Members: []*peerpb.Member{own}}
 	base := proto.Size(m)
 	allowance := t.budget.allowance(now, small) - base
+	if introduce {
+		allowance = max(allowance, introduceBytes)
+	}
 	switch {
 	case allowance <= 0:
 	case small:
--- a/pkg/membership/peers.go
+++ b/pkg/membership/peers.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/platform"
 )
 
@@ -55,6 +56,30 @@
 	return address
 }
 
+// Readers returns the addresses of the entries of the own failure domain that
+// read the platform's store for the others, the first n by rank, and whether
+// this entry is one of them. Those that leave or that skip names are passed
+// over: how recently an instance was heard of says little in a large fleet, so
+// whoever calls it decides. Entries need not agree on the ranks.
+func (t *Table) Readers(n int, skip func(address string) bool) (addresses []string, isOwn bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	better := 0 // peers that rank before this entry
+	for _, r := range t.order {
+		m := r.member
+		if !r.live() || m.FailureDomain != t.self.FailureDomain || m.Phase == peerpb.Phase_PHASE_LEAVING || skip(m.Address) {
+			continue
+		}
+		if m.Incarnation < t.self.Incarnation {
+			better++
+		}
+		if len(addresses) < n {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	return addresses, better < n
+}
+
 // choose returns n random peers of any failure domain.
 func (t *Table) choose(n int) []string {
 	t.mu.Lock()
--- a/pkg/membership/records_test.go
+++ b/pkg/membership/records_test.go
@@ -265,7 +265,7 @@
 					}
 					shared := t.readSource()
 					t.mu.Lock()
-					out := t.compose(t.now(), shared, false)
+					out := t.compose(t.now(), shared, false, false)
 					t.mu.Unlock()
 					text, _ := proto.Marshal(out)
 					bytes += len(text)
--- a/pkg/membership/runner.go
+++ b/pkg/membership/runner.go
@@ -134,7 +134,7 @@
 	var refused uint64 // the service is not asked again for a version that was refused
 	for ctx.Err() == nil {
 		epoch := r.o.Store.Epoch()
-		confirming := !r.o.Store.Confirmed() && (r.o.Store.EverConfirmed() || r.o.PlatformConfirms)
+		confirming := !r.o.Store.Confirmed() && r.o.Store.EverConfirmed()
 		version, text, err := r.readTree(ctx, max(r.o.Store.Version(), refused), confirming)
 		if err == nil {
 			switch r.o.Store.Offer(text, "service") {
@@ -142,7 +142,7 @@
 				refused = max(refused, version)
 			}
 		}
-		if confirming && (err == nil || errors.Is(err, platform.ErrUnchanged)) {
+		if (confirming || r.o.PlatformConfirms) && (err == nil || errors.Is(err, platform.ErrUnchanged)) {
 			r.confirmByService(ctx, epoch)
 		}
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -228,8 +228,9 @@
 	t.stats.Served++
 	t.stats.BytesReceived += uint64(proto.Size(in))
 	now := t.now()
+	_, met := t.records[in.GetHeader().GetIncarnation()]
 	t.merge(now, in.Members)
-	out := t.compose(now, s, false)
+	out := t.compose(now, s, false, !met)
 	t.mu.Unlock()
 	if sender != nil && t.wanted(in.Header, sender.Address) {
 		select {
@@ -369,7 +370,7 @@
 	s := t.readSource()
 	t.mu.Lock()
 	t.stats.Started++
-	in := t.compose(t.now(), s, small)
+	in := t.compose(t.now(), s, small, false)
 	t.mu.Unlock()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -59,6 +59,11 @@
 	return invoke(ctx, c, address, callTree, in, new(peerpb.TreeResponse))
 }
 
+// Changes waits for changes of the platform's store at the peer; at most 5 s.
+func (c *Client) Changes(ctx context.Context, address string, in *peerpb.ChangesRequest) (*peerpb.ChangesResponse, error) {
+	return invoke(ctx, c, address, callChanges, in, new(peerpb.ChangesResponse))
+}
+
 // Claim asks the peer to grant a key. An error says nothing about whether the
 // key was granted.
 func (c *Client) Claim(ctx context.Context, address string, in *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -14,6 +14,7 @@
 const (
 	callExchange = "/lentilpin.peer.v1.Peer/Exchange"
 	callTree     = "/lentilpin.peer.v1.Peer/Tree"
+	callChanges  = "/lentilpin.peer.v1.Peer/Changes"
 	callClaim    = "/lentilpin.peer.v1.Peer/Claim"
 	callSettle   = "/lentilpin.peer.v1.Peer/Settle"
 	callHandover = "/lentilpin.peer.v1.Peer/Handover"
@@ -23,6 +24,9 @@
 	smallMessage = 64 << 10
 	// treeMessage leaves room for the header beside a tree of one megabyte.
 	treeMessage = 1<<20 + 64<<10
+	// changesMessage is room for a value of the store of one megabyte and the
+	// registrations beside it.
+	changesMessage = 4 << 20
 	// MaxHandoverBytes is the largest handover chunk in bytes, header included.
 	MaxHandoverBytes = 1 << 20
 )
@@ -41,6 +45,7 @@
 var calls = buildCalls(
 	call{name: callExchange, maxBytes: smallMessage, timeout: time.Second},
 	call{name: callTree, maxBytes: treeMessage, timeout: 3 * time.Second},
+	call{name: callChanges, maxBytes: changesMessage, timeout: 5 * time.Second},
 	call{name: callClaim, maxBytes: smallMessage, timeout: 500 * time.Millisecond, longest: time.Minute},
 	call{name: callSettle, maxBytes: smallMessage, timeout: time.Second},
 	call{name: callHandover, maxBytes: MaxHandoverBytes, timeout: 3 * time.Second},
@@ -148,6 +153,10 @@
 		m.Header = h
 	case *peerpb.TreeRequest:
 		m.Header = h
+	case *peerpb.ChangesRequest:
+		m.Header = h
+	case *peerpb.ChangesResponse:
+		m.Header = h
 	case *peerpb.ClaimRequest:
 		m.Header = h
 	case *peerpb.SettleRequest:
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -9,6 +9,13 @@
 // slowdown, so that no latency has to be learned, and other failure domains are
 // asked only where the replies of the own one promise too little.
 //
+// An instance in a large fleet makes few requests, and a connection to each
+// backend server would be idle for longer than it is kept. It therefore takes its
+// candidates from the few that rank first by an order of its own
+// (server.Affinity), as in rendezvous hashing: the others take over where one of
+// these cannot be used, and one that joins is among the first of its share of
+// the instances.
+//
 // The cost of a candidate is its expected time in units of the usual service
 // time: the slowdown, times the wait that its requests lead to, plus a price for
 // leaving the failure domain. A report that gets old counts less and less in
@@ -16,6 +23,7 @@
 package fresh
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -39,15 +47,21 @@
 	muteCost = 50
 	// usualCost is that of an idle backend server at its usual speed.
 	usualCost = 1
+	// againMargin is by how much the best reply may exceed the cost of an idle
+	// backend server before others of the own failure domain are asked.
+	againMargin = 0.6
 	// farMargin is by how much a far backend server must promise to be better
 	// before it is worth a question.
 	farMargin = 0.3
 	// jitter breaks ties between candidates, so that instances with the same
 	// knowledge do not all ask the same ones.
 	jitter = 0.5
-	// scanned is the number of backend servers, from a random start, that one
-	// decision compares at most.
-	scanned = 256
+	// tieBreak does the same for the choice among those whose load is known.
+	tieBreak = 0.05
+	// nearSubset and farSubset are the numbers of backend servers in the own and
+	// in other failure domains that an instance chooses from.
+	nearSubset = 12
+	farSubset  = 6
 )
 
 // Options are the settings of the policy.
@@ -66,24 +80,39 @@
 // New returns the policy.
 func New(o Options, shared *server.Shared) *Policy { return &Policy{options: o, shared: shared} }
 
+// subset is the candidates of one decision.
+type subset struct {
+	servers [nearSubset + farSubset]*server.Server
+	near    int // those of the own failure domain come first
+	n       int
+}
+
 // Choose implements server.Policy.
 func (p *Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
+	var set subset
+	set.fill(l, exclude)
 	var best *server.Server
 	lowest := math.Inf(1)
-	p.each(l, r, 0, l.Len(), exclude, func(s *server.Server) {
-		if cost := p.cost(now, s) + 0.1*jitter*r.Float64(); cost < lowest {
+	for _, s := range set.servers[:set.n] {
+		if cost := p.cost(now, s) + tieBreak*r.Float64(); cost < lowest {
 			best, lowest = s, cost
 		}
-	})
+	}
 	return best
 }
 
 // Ask implements server.Asker.
-func (p *Policy) Ask(now time.Duration, l *server.List, r *rand.Rand, far bool, exclude, out []*server.Server) []*server.Server {
-	from, to := 0, l.Local()
-	if far {
-		from, to = l.Local(), l.Len()
-		if p.bestLocal(now, l, r, exclude) <= usualCost+p.options.CrossDomainPenalty+farMargin {
+func (p *Policy) Ask(now time.Duration, l *server.List, r *rand.Rand, round server.Round, exclude, out []*server.Server) []*server.Server {
+	var set subset
+	set.fill(l, exclude)
+	from, to := 0, set.near
+	if round > server.Near {
+		enough := usualCost + againMargin
+		if round == server.Far {
+			from, to = set.near, set.n
+			enough = usualCost + p.options.CrossDomainPenalty + farMargin
+		}
+		if p.lowest(now, set.servers[:set.near]) <= enough {
 			return out
 		}
 	}
@@ -91,18 +120,13 @@
 		s    *server.Server
 		cost float64
 	}
-	var list [scanned]candidate
+	var list [nearSubset + farSubset]candidate
 	n := 0
-	p.each(l, r, from, to, exclude, func(s *server.Server) {
+	for _, s := range set.servers[from:to] {
 		list[n] = candidate{s, p.cost(now, s) + jitter*r.Float64()}
 		n++
-	})
-	slices.SortFunc(list[:n], func(a, b candidate) int {
-		if a.cost < b.cost {
-			return -1
-		}
-		return 1
-	})
+	}
+	slices.SortFunc(list[:n], func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	for _, c := range list[:min(n, p.options.MaxProbes)] {
 		if _, age, ok := c.s.Reported(now); !ok || age > p.options.MaxAge {
 			out = append(out, c.s)
@@ -111,32 +135,32 @@
 	return out
 }
 
-// each visits the usable backend servers of the indexes [from, to) that are not
-// excluded, at most scanned of them.
-func (p *Policy) each(l *server.List, r *rand.Rand, from, to int, exclude []*server.Server, visit func(*server.Server)) {
-	n := to - from
-	if n <= 0 {
-		return
-	}
-	start := 0
-	if n > scanned {
-		start = r.IntN(n)
-	}
-	for k := range min(n, scanned) {
-		i := from + (start+k)%n
+// fill takes the usable backend servers of lowest affinity.
+func (set *subset) fill(l *server.List, exclude []*server.Server) {
+	set.take(l, 0, l.Local(), nearSubset, exclude)
+	set.near = set.n
+	set.take(l, l.Local(), l.Len(), farSubset, exclude)
+}
+
+// take adds up to n usable backend servers of the indexes [from, to). The list
+// has each part in the order of affinity.
+func (set *subset) take(l *server.List, from, to, n int, exclude []*server.Server) {
+	for i := from; i < to && n > 0; i++ {
 		if s := l.At(i); l.Usable(i) && !server.Contains(exclude, s) {
-			visit(s)
+			set.servers[set.n] = s
+			set.n++
+			n--
 		}
 	}
 }
 
-// bestLocal returns the lowest cost in the own failure domain.
-func (p *Policy) bestLocal(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) float64 {
-	lowest := math.Inf(1)
-	p.each(l, r, 0, l.Local(), exclude, func(s *server.Server) {
-		lowest = min(lowest, p.cost(now, s))
-	})
-	return lowest
+// lowest returns the lowest cost.
+func (p *Policy) lowest(now time.Duration, servers []*server.Server) float64 {
+	out := math.Inf(1)
+	for _, s := range servers {
+		out = min(out, p.cost(now, s))
+	}
+	return out
 }
 
 // cost is the expected time of an attempt in units of the usual service time.
--- a/pkg/routing/server/list.go
+++ b/pkg/routing/server/list.go
@@ -46,13 +46,22 @@
 
 // Asker is a Policy that wants the load of its candidates before it decides.
 type Asker interface {
-	// Ask appends the backend servers to ask. far is false for the first
-	// question of a decision, which concerns the own failure domain, and true
-	// for the second one, which concerns the others and is only asked where
-	// the replies to the first promise too little.
-	Ask(now time.Duration, l *List, r *rand.Rand, far bool, exclude, out []*Server) []*Server
+	// Ask appends the backend servers to ask in a round. A round after the
+	// first asks only where the replies so far promise too little.
+	Ask(now time.Duration, l *List, r *rand.Rand, round Round, exclude, out []*Server) []*Server
 }
 
+// Round is one of the questions before a decision.
+type Round uint8
+
+// Rounds in their order.
+const (
+	Near  Round = iota // some of the own failure domain
+	Again              // others of the own failure domain
+	Far                // those of other failure domains
+	Rounds
+)
+
 // List is one version of the backend servers of a service. The backend
 // servers of the own failure domain come first.
 type List struct {
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -65,6 +65,7 @@
 type Server struct {
 	address, domain string
 	id, key         string
+	affinity        uint64
 	local           bool
 	shared          *Shared
 
@@ -258,6 +259,13 @@
 // where the list states one. An address may pass to another backend server.
 func (s *Server) Key() string { return s.key }
 
+// Affinity orders the backend servers of a service differently at each instance:
+// where only some of them are to be used, those with the lowest are.
+func (s *Server) Affinity() uint64 { return s.affinity }
+
+// SetAffinity is called before the server is used.
+func (s *Server) SetAffinity(a uint64) { s.affinity = a }
+
 // Latency returns the smoothed latency of this instance's attempts; 0: none yet.
 func (s *Server) Latency() time.Duration {
 	return time.Duration(math.Float64frombits(s.latency.Load()))
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -4,11 +4,11 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/config/dynamic"
@@ -29,6 +29,7 @@
 	Backend = server.Backend
 	Outcome = server.Outcome
 	Server  = server.Server
+	Round   = server.Round
 )
 
 // Outcomes of an attempt.
@@ -41,6 +42,13 @@
 	Canceled      = server.Canceled
 )
 
+// Rounds of questions before a decision.
+const (
+	Near   = server.Near
+	Far    = server.Far
+	Rounds = server.Rounds
+)
+
 // ErrUnknownPolicy says that the settings name a policy that does not exist.
 var ErrUnknownPolicy = errors.New("unknown routing policy")
 
@@ -179,6 +187,7 @@
 		x := old[key]
 		if x == nil || x.FailureDomain() != b.FailureDomain {
 			x = server.New(b, b.FailureDomain == s.options.FailureDomain, s.shared, limit)
+			x.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
 		}
 		if b.ColdFor > 0 {
 			x.SetCold(now, b.ColdFor)
@@ -193,7 +202,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(strings.Compare(a.FailureDomain(), b.FailureDomain()), strings.Compare(a.Key(), b.Key()))
+		return cmp.Compare(a.Affinity(), b.Affinity())
 	})
 	local := 0
 	for local < len(servers) && servers[local].Local() {
@@ -235,16 +244,16 @@
 func (s *Set) Asks() bool { return s.settings.Load().asker != nil }
 
 // Ask appends to out the backend servers that the policy wants to ask for their
-// load before it decides; far asks for those of other failure domains. A
-// policy that decides without asking wants none.
-func (s *Set) Ask(now time.Duration, far bool, exclude, out []*Server) []*Server {
+// load in a round before it decides. A policy that decides without asking wants
+// none.
+func (s *Set) Ask(now time.Duration, round Round, exclude, out []*Server) []*Server {
 	st := s.settings.Load()
 	if st.asker == nil {
 		return out
 	}
 	src := s.lockSource()
 	defer src.mu.Unlock()
-	return st.asker.Ask(now, s.list.Load(), src.rand, far, exclude, out)
+	return st.asker.Ask(now, s.list.Load(), src.rand, round, exclude, out)
 }
 
 func (s *Set) lockSource() *source {
