Tell every request that did not go as planned in one log line; explain it

Cause: the on-call engineers have only logs and metrics; a request left no line unless an order was lost. Change: event 6010 tells a request that was refused, failed, late or sent more than once, with the settings version, the attempts and what was known of each backend server when it was chosen; 6011 samples one in 128 of the others. Log lines go through a bounded buffer with a goroutine of its own; dropped lines are counted (1007). lentilpinctl explain joins lines of any entries into the story of one request.

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -15,20 +17,23 @@
 	"lentilpin/pkg/buildinfo"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/entry"
+	"lentilpin/pkg/events"
 	"lentilpin/platform"
 )
 
 func main() {
 	var path string
 	var checkOnly bool
+	var operatorsPort int
 	flaggy.SetName("lentilpin-entry")
 	flaggy.SetDescription("entry gateway: serves callers and dispatches to backend servers")
 	flaggy.SetVersion(buildinfo.Version)
-	flaggy.String(&path, "s", "settings", "settings file (JSON)")
+	flaggy.String(&path, "s", "settings", "settings file (JSON); without it the one that the platform has prepared")
 	flaggy.Bool(&checkOnly, "", "check", "check the settings file and exit")
+	flaggy.Int(&operatorsPort, "", "operators-port", "port of the operators' listener with the metrics, in place of the one in the settings")
 	flaggy.Parse()
 
-	e, listen, err := assemble(path)
+	p, err := load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitUsage)
@@ -36,70 +41,97 @@
 	if checkOnly {
 		return
 	}
-	if err := run(e, listen); err != nil {
+	if operatorsPort > 0 {
+		p.setOperatorsPort(operatorsPort)
+	}
+	if err := p.run(); err != nil {
 		fmt.Fprintln(os.Stderr, "lentilpin-entry:", err)
 		os.Exit(buildinfo.ExitFailure)
 	}
 }
 
-// assemble makes the entry that the settings file at path describes or, without
-// one, the file that the users' platform has prepared.
-func assemble(path string) (*entry.Entry, static.Listen, error) {
+// program is one entry before it runs.
+type program struct {
+	path string
+	conf *static.Settings
+	on   *platform.Settings // nil where the entry does not run on the users' platform
+}
+
+// load reads the settings file at path or, without one, the file that the users'
+// platform has prepared.
+func load(path string) (*program, error) {
 	if path != "" {
 		conf, err := static.Load(path)
-		if err != nil {
-			return nil, static.Listen{}, err
-		}
-		log, err := logger(conf)
-		if err != nil {
-			return nil, static.Listen{}, err
-		}
-		return entry.New(conf, log), conf.Listen, nil
+		return &program{path: path, conf: conf}, err
 	}
-	prepared := platform.SettingsPath()
-	if prepared == "" {
-		return nil, static.Listen{}, errors.New("no settings file given; use --settings FILE")
+	path = platform.SettingsPath()
+	if path == "" {
+		return nil, errors.New("no settings file given; use --settings FILE")
 	}
-	s, err := platform.LoadSettings(prepared)
+	on, err := platform.LoadSettings(path)
 	if err != nil {
-		return nil, static.Listen{}, err
+		return nil, err
 	}
-	log, err := logger(s.Entry)
-	if err != nil {
-		return nil, static.Listen{}, err
+	return &program{path: path, conf: on.Entry, on: on}, nil
+}
+
+// setOperatorsPort changes the port and keeps the address.
+func (p *program) setOperatorsPort(port int) {
+	if host, _, err := net.SplitHostPort(p.conf.Listen.Operators); err == nil {
+		p.conf.Listen.Operators = net.JoinHostPort(host, strconv.Itoa(port))
 	}
-	return entry.NewOn(s.Entry, log, platform.NewClient(s), platform.Translator{Regions: s.Regions}), s.Entry.Listen, nil
 }
 
-// logger returns the logger that the settings ask for.
-func logger(conf *static.Settings) (*logrus.Logger, error) {
-	level, err := logrus.ParseLevel(conf.LogLevel)
+// reload reads the settings of a file that has changed.
+func (p *program) reload(path string) (*static.Settings, error) {
+	if p.on == nil {
+		return static.Load(path)
+	}
+	on, err := platform.LoadSettings(path)
 	if err != nil {
 		return nil, err
 	}
-	log := logrus.New()
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{})
-	return log, nil
+	return on.Entry, nil
 }
 
 // run serves until the first signal asks for a graceful shutdown. The second
 // signal ends the process at once.
-func run(e *entry.Entry, listen static.Listen) error {
+func (p *program) run() error {
+	level, err := logrus.ParseLevel(p.conf.LogLevel)
+	if err != nil {
+		return err
+	}
+	lines := events.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := logrus.New()
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{})
+	log.SetOutput(lines)
+
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		<-signals
 		cancel()
 		<-signals
 		os.Exit(buildinfo.ExitAborted)
 	}()
-	listeners, err := entry.Listen(ctx, listen)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+
+	listeners, err := entry.Listen(ctx, p.conf.Listen)
 	if err != nil {
 		return err
 	}
+	var e *entry.Entry
+	if p.on == nil {
+		e = entry.New(p.conf, log)
+	} else {
+		e = entry.NewOn(p.conf, log, platform.NewClient(p.on), platform.Translator{Regions: p.on.Regions})
+	}
+	go e.FollowSettings(ctx, p.path, p.reload, hangups)
+	go e.ReportDropped(ctx, lines.Dropped)
 	return e.Run(ctx, listeners)
 }
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -34,6 +34,19 @@
 	Offset        time.Duration `json:"offset_ns"` // from the start of the request
 	Duration      time.Duration `json:"duration_ns"`
 	Result        string        `json:"result"` // a fixed word
+	Seen          Seen          `json:"seen"`
+}
+
+// Seen is what an instance knew of a backend server when it chose it.
+type Seen struct {
+	Near     bool    `json:"near"`             // in the failure domain of the instance
+	Mute     bool    `json:"mute,omitempty"`   // did not reply to a recent question for its load
+	Reported bool    `json:"reported"`         // the rest is that of a load report
+	AgeMS    float64 `json:"age_ms,omitempty"` // of the report
+	Running  int32   `json:"running,omitempty"`
+	Waiting  int32   `json:"waiting,omitempty"`
+	Slots    int32   `json:"slots,omitempty"`
+	Slowdown float64 `json:"slowdown,omitempty"` // 1: as usual; 0: not stated
 }
 
 // Record is one request.
--- a/pkg/ctl/options.go
+++ b/pkg/ctl/options.go
@@ -61,6 +61,7 @@
 	{"draining", "which backend servers are draining", nil, false},
 	{"measuring", "cost of measuring against its budget", nil, false},
 	{"audit", "what the instances changed on their own or adopted", nil, false},
+	{"explain", "the story of a request from log lines, on standard input or in FILE", []string{"ID", "[FILE]"}, true},
 	{"check", "check a settings tree before publishing it", []string{"TREE"}, true},
 	{"diff", "what a new settings tree changes for each service", []string{"OLD", "NEW"}, true},
 }
--- a/pkg/ctl/run.go
+++ b/pkg/ctl/run.go
@@ -43,6 +43,8 @@
 		return question(ctx, o, out, "/v1/measuring", showMeasuring)
 	case "audit":
 		return question(ctx, o, out, fmt.Sprintf("/v1/audit?after=%d&limit=%d", o.After, o.Limit), showAudit)
+	case "explain":
+		return explain(o, out)
 	case "check":
 		return check(o, out)
 	case "diff":
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -20,6 +20,7 @@
 	resp    *transport.Response
 	fail    *transport.Failure
 	cancel  context.CancelFunc
+	seen    audit.Seen
 	latency time.Duration // until the response header or the failure
 	expired atomic.Bool   // its own timeout ended it, not the caller or a winner
 }
@@ -64,7 +65,7 @@
 // has arrived when it returns; the body is still to be read, and end must be
 // called exactly once after that.
 func (c *call) send(ctx context.Context, server *routing.Server, timeout time.Duration) *attempt {
-	a := &attempt{server: server, start: time.Now()}
+	a := &attempt{server: server, start: time.Now(), seen: seen(c.g.now(), server)}
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.cancel = func() { cancel(nil) }
 	if timeout > 0 {
@@ -114,6 +115,7 @@
 		Offset:        a.start.Sub(c.started),
 		Duration:      time.Since(a.start),
 		Result:        resultOf(a, o),
+		Seen:          a.seen,
 	})
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,7 +83,8 @@
 	updateMu sync.Mutex // serialises changes of the snapshot
 	list     []platform.Instance
 
-	listed     atomic.Bool // an instance list was read
+	listed     atomic.Bool   // an instance list was read
+	planned    atomic.Uint64 // requests that went as planned
 	draining   atomic.Bool
 	inFlight   atomic.Int64
 	background tracker
@@ -146,7 +147,7 @@
 		}
 	}
 	old := g.current.Load()
-	g.current.Store(newSnapshot(next, route.NewTable(old.routes, tree.Routes), &tree.Callers))
+	g.current.Store(newSnapshot(next, route.NewTable(old.routes, tree.Routes), tree))
 	for _, s := range old.list {
 		if next[s.name] == nil {
 			s.pool.Close()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -196,7 +196,8 @@
 				require.Empty(t, rec.all)
 				return
 			}
-			require.Equal(t, []*events.Event{want}, rec.all)
+			// The loss itself, and once the whole story of the request.
+			require.Equal(t, []*events.Event{EventRequest, want}, rec.all)
 		})
 	}
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -95,6 +95,7 @@
 	c.rec.Status, c.rec.KeyState = res.status, res.keyState
 	c.rec.Duration = time.Since(c.started)
 	c.g.log.Request(c.rec)
+	c.tell()
 	c.reportLoss(res)
 	c.g.count(c.svc, res)
 	if res.outcome == audit.Aborted && res.reason == reasonResponseCut {
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	t.Cleanup(s.pool.Close)
 	s.update([]routing.Backend{{Address: "a"}}, []string{"a"})
-	g.current.Store(newSnapshot(map[string]*service{"shop": s}, nil, &dynamic.Callers{}))
+	g.current.Store(newSnapshot(map[string]*service{"shop": s}, nil, tree))
 	visit := func() {
 		for tick := range roundTicks {
 			var probes sync.WaitGroup
--- a/pkg/gateway/snapshot.go
+++ b/pkg/gateway/snapshot.go
@@ -17,10 +17,11 @@
 	list    []*service // in the order of the names
 	routes  *route.Table
 	callers *callerRules
+	version uint64
 }
 
-func newSnapshot(byName map[string]*service, routes *route.Table, callers *dynamic.Callers) *snapshot {
-	out := &snapshot{adopted: true, byName: byName, routes: routes, callers: newCallerRules(callers)}
+func newSnapshot(byName map[string]*service, routes *route.Table, tree *dynamic.Tree) *snapshot {
+	out := &snapshot{adopted: true, byName: byName, routes: routes, callers: newCallerRules(&tree.Callers), version: tree.Version}
 	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		out.list = append(out.list, byName[name])
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -206,6 +207,13 @@
 	t.Notify()
 }
 
+// SetSeeds replaces the seeds.
+func (t *Table) SetSeeds(seeds []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.o.Seeds = slices.Clone(seeds)
+}
+
 // SetInstances replaces what the instance list says about other entries.
 func (t *Table) SetInstances(list []platform.Instance) {
 	entries := map[string]platform.Instance{}
