Hedge by the target latency, wait for questions under way, distrust silence

Choices fell on backend servers without any report whose question another request had just begun. Ruled out: retries of orders (their outcome is unknown); a larger burst of the retry budget (its sum over 107 entries passes the slack). Change: the delay follows from the route's target latency and its usual latency; a hedge asks for loads before it chooses; a question that is under way is waited for; a backend server without a report comes last in a choice.

--- a/pkg/gateway/consult.go
+++ b/pkg/gateway/consult.go
@@ -35,29 +35,26 @@
 }
 
 // askAll asks backend servers for their load and waits until all have replied,
-// at most for patience. Replies that come later still count for later
-// decisions.
+// at most for patience. A question that another request has begun is waited for as
+// well. Replies that come later still count for later decisions.
 func (s *service) askAll(ctx context.Context, servers []*routing.Server, patience time.Duration) {
-	replies := make(chan struct{}, len(servers))
-	asked := 0
-	for _, server := range servers {
-		if !server.Ask(s.now()) {
-			continue
-		}
-		asked++
-		s.background.Go(func() {
-			s.askLoad(server)
-			replies <- struct{}{}
-		})
-	}
-	if asked == 0 {
+	if len(servers) == 0 {
 		return
 	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
-	for range asked {
+	var room [typicalAsked]<-chan struct{}
+	replies := room[:0]
+	for _, server := range servers {
+		replied, isNew := server.Ask()
+		if isNew {
+			s.background.Go(func() { s.askLoad(server) })
+		}
+		replies = append(replies, replied)
+	}
+	for _, replied := range replies {
 		select {
-		case <-replies:
+		case <-replied:
 		case <-timer.C:
 			return
 		case <-ctx.Done():
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -99,6 +99,9 @@
 func (c *call) end(a *attempt, o routing.Outcome) {
 	a.cancel()
 	c.svc.finish(a.server, a.latency, o)
+	if c.route != nil && o == routing.Success {
+		c.route.Usual.Observe(a.latency, a.seen.Slowdown)
+	}
 	if o == routing.Broken && !a.isNotRun() {
 		c.svc.quarantine.Broken(c.g.now(), c.fingerprint, a.server.Address())
 		c.verify(a.server)
--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"lentilpin/pkg/audit"
@@ -63,6 +64,20 @@
 	}()
 }
 
+// prepareHedge asks for the loads that the choice of the second backend server
+// needs, and signals when they are there. It does not hold up the results of the
+// first attempt.
+func (rd *reader) prepareHedge() <-chan struct{} {
+	ready := make(chan struct{})
+	exclude := slices.Clone(rd.tried)
+	ctx := rd.ctx
+	rd.g.background.Go(func() {
+		defer close(ready)
+		rd.call.consult(ctx, exclude)
+	})
+	return ready
+}
+
 // hedge starts a second attempt only where a server has capacity now: a hedge
 // that waits in the queue would delay the results of the first attempt.
 func (rd *reader) hedge() {
@@ -79,10 +94,14 @@
 	hedgeAt, stop := rd.hedgeTimer()
 	defer stop()
 	defer rd.drain()
+	var hedgeReady <-chan struct{}
 	for {
 		select {
 		case <-hedgeAt:
 			hedgeAt = nil
+			hedgeReady = rd.prepareHedge()
+		case <-hedgeReady:
+			hedgeReady = nil
 			rd.hedge()
 		case a := <-rd.results:
 			delete(rd.pending, a.server)
@@ -203,13 +222,24 @@
 	return unknown(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before a response arrived")
 }
 
+// hedgeDelayOf is the delay that the route's target latency leaves or, without
+// one, the percentile of the service.
+func (rd *reader) hedgeDelayOf() (time.Duration, bool) {
+	if rd.route != nil {
+		if delay, ok := rd.route.HedgeDelay(); ok {
+			return delay, true
+		}
+	}
+	return rd.svc.hedgeDelay.Delay()
+}
+
 // hedgeTimer fires when the response takes longer than the service's usual
 // percentile.
 func (rd *reader) hedgeTimer() (<-chan time.Time, func()) {
 	if !rd.settings.Retry.Hedge || rd.maxAttempts() < 2 {
 		return nil, func() {}
 	}
-	delay, ok := rd.svc.hedgeDelay.Delay()
+	delay, ok := rd.hedgeDelayOf()
 	if !ok {
 		return nil, func() {}
 	}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -12,6 +12,7 @@
 // Route is a route of the tree with the state of its split.
 type Route struct {
 	dynamic.Route
+	Usual *Usual
 	split *Split
 }
 
@@ -28,8 +29,12 @@
 func NewTable(previous *Table, routes []dynamic.Route) *Table {
 	t := &Table{hosts: map[string][]*Route{}}
 	for i := range routes {
-		r := &Route{Route: routes[i]}
-		if old := previous.find(r.Host, r.PathPrefix); old != nil && slices.Equal(old.Services, r.Services) {
+		r := &Route{Route: routes[i], Usual: &Usual{}}
+		old := previous.find(r.Host, r.PathPrefix)
+		if old != nil {
+			r.Usual = old.Usual
+		}
+		if old != nil && slices.Equal(old.Services, r.Services) {
 			r.split = old.split
 		} else {
 			r.split = NewSplit(r.Services)
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -45,6 +45,9 @@
 	coldFactor = 2
 	// muteCost keeps backend servers that do not reply behind all others.
 	muteCost = 50
+	// unknownCost is added to a choice without any report. The question went
+	// out with all others, so a backend server without a reply may be dead.
+	unknownCost = 10
 	// usualCost is that of an idle backend server at its usual speed.
 	usualCost = 1
 	// againMargin is by how much the best reply may exceed the cost of an idle
@@ -94,7 +97,11 @@
 	var best *server.Server
 	lowest := math.Inf(1)
 	for _, s := range set.servers[:set.n] {
-		if cost := p.cost(now, s) + tieBreak*r.Float64(); cost < lowest {
+		cost := p.cost(now, s) + tieBreak*r.Float64()
+		if _, _, known := s.Reported(now); !known {
+			cost += unknownCost
+		}
+		if cost < lowest {
 			best, lowest = s, cost
 		}
 	}
--- a/pkg/routing/server/ask.go
+++ b/pkg/routing/server/ask.go
@@ -1,34 +1,46 @@
 package server
 
-import "time"
-
-const (
-	// muteFor is how long a backend server that did not reply to a question is
-	// passed over while others reply.
-	muteFor = time.Second
-	// askRepeat is when a question that had no reply may be repeated.
-	askRepeat = 100 * time.Millisecond
+import (
+	"sync"
+	"time"
 )
 
-// Ask notes that a question for the load is sent now. It returns false where one
-// is under way.
-func (s *Server) Ask(now time.Duration) bool {
-	at := s.asking.Load()
-	if at != 0 && now-time.Duration(at-1) < askRepeat {
-		return false
+// muteFor is how long a backend server that did not reply to a question is passed
+// over while others reply.
+const muteFor = time.Second
+
+// question is the question for the load that is under way. Its zero value is none.
+type question struct {
+	mu      sync.Mutex
+	replied chan struct{} // nil: none is under way
+}
+
+// Ask begins a question for the load unless one is under way. replied is closed
+// when it ends; isNew says that the caller has to ask and to call Replied.
+func (s *Server) Ask() (replied <-chan struct{}, isNew bool) {
+	q := &s.question
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.replied != nil {
+		return q.replied, false
 	}
-	return s.asking.CompareAndSwap(at, int64(now)+1)
+	q.replied = make(chan struct{})
+	return q.replied, true
 }
 
-// Replied ends a question. Without a reply the backend server is passed over for
+// Replied ends the question. Without a reply the backend server is passed over for
 // a while.
 func (s *Server) Replied(now time.Duration, ok bool) {
-	s.asking.Store(0)
 	if ok {
 		s.mute.Store(0)
-		return
+	} else {
+		s.mute.Store(int64(now + muteFor))
 	}
-	s.mute.Store(int64(now + muteFor))
+	q := &s.question
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	close(q.replied)
+	q.replied = nil
 }
 
 // IsMute reports whether the backend server did not reply to a recent question.
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -82,9 +82,9 @@
 	slowdown atomic.Uint64 // float64 bits
 	reportAt atomic.Int64  // time of the report plus one; 0: none
 	begun    atomic.Int32  // attempts begun since the report
-	asking   atomic.Int64  // time of the question under way plus one; 0: none
 	mute     atomic.Int64  // no reply to questions until this time
 	coldTill atomic.Int64
+	question question
 	probedAt atomic.Int64 // time of the last probe plus one
 
 	endMu      sync.Mutex // serialises End's estimates
