Bound questions by load over latency; split request.go and reader.go

(1) Questions for loads follow the number of requests, so that a service with many short requests for each backend server would be asked more often than agreed. (2) Requests that came before the first configuration had no identifier of the caller on their log line and were told to come back after a whole second. (3) request.go held four steps. Ruled out: a token bucket for each instance (needs the number of instances).

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -80,6 +80,9 @@
 	BytesPerSecond               float64 `json:"bytesPerSecond"`               // default 65536
 	CrossDomainMessagesPerSecond float64 `json:"crossDomainMessagesPerSecond"` // default 20
 	CrossDomainBytesPerSecond    float64 `json:"crossDomainBytesPerSecond"`    // default 8192
+	// QuestionsPerBackend bounds the questions of the policy fresh that all
+	// instances together ask one backend server in a second; default 45.
+	QuestionsPerBackend float64 `json:"questionsPerBackend"`
 }
 
 // Retry are the settings of retries and hedges of idempotent requests.
--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/schema"
 )
 
@@ -37,6 +38,8 @@
 	// linearizable, so that one of them confirms a version; default false.
 	PlatformConfirms bool   `json:"platformConfirms"`
 	LogLevel         string `json:"logLevel"` // default info
+	// Callers holds towards callers until the first settings tree is in force.
+	Callers dynamic.Callers `json:"-"`
 }
 
 // Listen are the addresses of the listeners, IP:port.
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -260,7 +260,7 @@
 		code int
 		want []string
 	}{
-		{"valid", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "58", "region/r/service/varasto"}},
+		{"valid", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "59", "region/r/service/varasto"}},
 		{"rule broken", []string{"check", bad}, 2, []string{"/regions/r/services/maksu/timeoutMs", "0", "minimum"}},
 		{"no JSON", []string{"check", broken}, 2, []string{"parse JSON"}},
 		{"no file", []string{"check", dir + "/none"}, 1, []string{"no such file"}},
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -84,7 +84,7 @@
 	})
 	e.gateway = gateway.New(gateway.Options{
 		Instance: conf.Instance, Incarnation: e.incarnation, Region: conf.Region,
-		FailureDomain: conf.FailureDomain, Ordinal: conf.Ordinal,
+		FailureDomain: conf.FailureDomain, Callers: conf.Callers, Ordinal: conf.Ordinal,
 		Store: e.store, Owner: e.owner,
 		Claimant:        ledger.NewClaimant(e.owner, keyring, peers{e.client, e}, c, conf.Listen.Peers),
 		Log:             e.log,
--- /dev/null
+++ b/pkg/feed/follow.go
@@ -0,0 +1,195 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/events"
+)
+
+// run reads everything, then follows the changes; after an error it starts over.
+func (r *Reader) run() {
+	for r.ctx.Err() == nil {
+		revision, err := r.load()
+		for err == nil {
+			revision, err = r.follow(revision)
+		}
+		if !errors.Is(err, ErrHistoryLost) {
+			sleep(r.ctx, retryMin+rand.N(retryMax-retryMin))
+		}
+	}
+}
+
+// load reads everything and then, so that it is exact, the changes since.
+func (r *Reader) load() (uint64, error) {
+	all, revision, err := r.o.Store.Snapshot(r.ctx, true)
+	var since []Change
+	if err == nil {
+		since, revision, err = r.since(revision)
+	}
+	if errors.Is(err, ErrHistoryLost) {
+		since = nil
+		all, revision, err = r.o.Store.Snapshot(r.ctx, false)
+	}
+	if r.note(err) != nil {
+		return r.loadFromPeer(err)
+	}
+	r.replace(append(all, since...), revision)
+	r.log.touch(time.Now())
+	return revision, nil
+}
+
+// since reads the changes after a stale snapshot without waiting for more.
+func (r *Reader) since(revision uint64) ([]Change, uint64, error) {
+	changes, next, err := r.o.Store.Changes(r.ctx, revision, time.Millisecond)
+	return changes, max(revision, next), err
+}
+
+// loadFromPeer takes everything from a relay, for an entry that starts while the
+// store cannot be reached.
+func (r *Reader) loadFromPeer(cause error) (uint64, error) {
+	address, ok := r.relay(time.Now())
+	if !ok || r.ctx.Err() != nil {
+		return 0, cause
+	}
+	all, revision, err := r.fromRelay(address, 0)
+	if err != nil {
+		return 0, cause
+	}
+	r.replace(all, revision)
+	return revision, nil
+}
+
+// replace puts a snapshot in the place of all that is known.
+func (r *Reader) replace(all []Change, revision uint64) {
+	now := time.Now()
+	newest := map[string]Change{}
+	for _, c := range all {
+		if c.Revision >= newest[c.Key].Revision {
+			newest[c.Key] = c
+		}
+	}
+	r.log.replace(newest, revision)
+	r.list.replace(newest, now, r.inTrouble(now))
+	for _, c := range newest {
+		r.takeTree(c)
+	}
+	r.publishList(now)
+}
+
+// follow waits for changes after a revision and takes them.
+func (r *Reader) follow(revision uint64) (uint64, error) {
+	changes, next, err := r.next(revision)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	dirty := r.list.expire(now)
+	dirty = r.list.apply(changes, now, r.inTrouble(now)) || dirty
+	for _, c := range changes {
+		r.takeTree(c)
+	}
+	r.log.add(changes, next)
+	if dirty {
+		r.publishList(now)
+	}
+	return next, nil
+}
+
+// next reads changes from a relay or, where none will do, from the store.
+func (r *Reader) next(revision uint64) ([]Change, uint64, error) {
+	if address, ok := r.relay(time.Now()); ok {
+		changes, next, err := r.fromRelay(address, revision)
+		if err == nil {
+			return changes, max(revision, next), nil
+		}
+	}
+	if !sleep(r.ctx, storeGap) {
+		return nil, 0, r.ctx.Err()
+	}
+	wait := storeWait/2 + rand.N(storeWait/2)
+	changes, next, err := r.o.Store.Changes(r.ctx, revision, r.list.patience(time.Now(), wait))
+	if r.note(err) != nil {
+		return nil, 0, err
+	}
+	r.log.touch(time.Now())
+	return changes, max(revision, next), nil
+}
+
+// relay chooses a relay at random; false: this entry reads the store itself.
+func (r *Reader) relay(now time.Time) (string, bool) {
+	if r.o.Peers == nil || r.o.Relays == nil {
+		return "", false
+	}
+	addresses, isOwn := r.o.Relays(func(address string) bool { return now.Before(r.avoid[address]) })
+	if isOwn || len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
+func (r *Reader) fromRelay(address string, revision uint64) ([]Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, relayWait+relayMargin)
+	defer cancel()
+	changes, next, err := r.o.Peers.Changes(ctx, address, revision, r.list.patience(time.Now(), relayWait))
+	if err != nil && r.ctx.Err() == nil {
+		pause := avoidFor
+		if errors.Is(err, ErrNotReader) {
+			pause = avoidStartingFor
+		}
+		r.avoid[address] = time.Now().Add(pause)
+		r.o.Recorder.Record(eventRelayAvoided, events.F("address", address), events.F("error", err.Error()))
+	}
+	return changes, next, err
+}
+
+// takeTree translates a settings tree. Versions only rise, and a change that is
+// read twice changes nothing.
+func (r *Reader) takeTree(c Change) {
+	if r.o.Translator.Kind(c.Key) != Tree || c.Deleted {
+		return
+	}
+	version, text, err := r.o.Translator.Tree(c.Value)
+	if err != nil {
+		r.o.Recorder.Record(eventTreeRefused, events.F("revision", c.Revision), events.F("error", err.Error()))
+		return
+	}
+	if version > r.version {
+		r.publish(func() { r.version, r.tree = version, text })
+	}
+}
+
+func (r *Reader) publishList(now time.Time) {
+	list := r.list.instances(now)
+	r.publish(func() { r.listed = list; r.number++ })
+}
+
+// troubleFor is how long after a failed call the store counts as in trouble.
+const troubleFor = 3 * time.Second
+
+func (r *Reader) inTrouble(now time.Time) bool {
+	return !r.failed.IsZero() && now.Sub(r.failed) < troubleFor
+}
+
+// note records that calls to the store begin to fail or succeed again. A lost
+// history is no failure of the store.
+func (r *Reader) note(err error) error {
+	switch {
+	case err == nil && r.broken:
+		r.broken = false
+		r.o.Recorder.Record(eventReachable)
+	case err == nil || r.ctx.Err() != nil:
+	case errors.Is(err, ErrHistoryLost):
+		r.o.Recorder.Record(eventHistoryLost)
+	default:
+		r.failed = time.Now()
+		if !r.broken {
+			r.broken = true
+			r.o.Recorder.Record(eventUnreachable, events.F("error", err.Error()))
+		}
+	}
+	return err
+}
--- a/pkg/gateway/consult.go
+++ b/pkg/gateway/consult.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
+	"lentilpin/pkg/measure"
 	"lentilpin/pkg/routing"
 )
 
@@ -21,7 +23,7 @@
 // before it decides: some of the own failure domain, then, where they promise too
 // little, others of it, then those of other failure domains.
 func (c *call) consult(ctx context.Context, exclude []*routing.Server) {
-	if !c.svc.set.Asks() {
+	if !c.svc.set.Asks() || rand.Float64() >= c.questionShare() {
 		return
 	}
 	var room [typicalAsked]*routing.Server
@@ -34,6 +36,13 @@
 	}
 }
 
+// questionShare is the share of decisions before which the budget allows
+// questions.
+func (c *call) questionShare() float64 {
+	s := c.settings
+	return measure.QuestionShare(s.Measuring.QuestionsPerBackend, s.Routing.MaxProbes, c.svc.set.MeanLoad(), c.svc.set.MeanLatency())
+}
+
 // askAll asks backend servers for their load and waits until all have replied,
 // at most for patience. A question that another request has begun is waited for as
 // well. Replies that come later still count for later decisions.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,7 @@
 	Incarnation   uint64
 	Region        string
 	FailureDomain string
+	Callers       dynamic.Callers // hold until the first settings tree is in force
 	Ordinal       int
 	Store         *settings.Store
 	Owner         *ledger.Owner
@@ -101,7 +102,7 @@
 		prefix:   fmt.Sprintf("%s-%016x-", o.Instance, o.Incarnation),
 		accepted: o.Scope.Counter("requests_accepted"),
 	}
-	g.current.Store(&snapshot{callers: newCallerRules(&dynamic.Callers{})})
+	g.current.Store(&snapshot{callers: newCallerRules(&o.Callers)})
 	o.Store.Subscribe(g.adopt)
 	return g
 }
@@ -118,10 +119,10 @@
 
 // ready reports whether requests may be served. The settings store knows a
 // version before the gateway has adopted it.
-func (g *Gateway) ready(now *snapshot) (bool, string) {
+func (g *Gateway) ready(inForce *snapshot) (bool, string) {
 	ok, reason := g.o.Ready()
 	switch {
-	case !now.adopted:
+	case !inForce.adopted:
 		return false, reasonNotReady
 	case ok:
 		return true, ""
--- a/pkg/gateway/story.go
+++ b/pkg/gateway/story.go
@@ -28,7 +28,7 @@
 	}
 	r := &c.rec
 	c.g.o.Recorder.Record(e, events.F("request_id", r.RequestID), events.F("service", r.Service), events.F("route", name),
-		events.F("idempotent", c.settings != nil && c.isRead()), events.F("version", c.now.version),
+		events.F("idempotent", c.settings != nil && c.isRead()), events.F("version", c.inForce.version),
 		events.F("outcome", r.Outcome), events.F("run", r.Run), events.F("reason", r.Reason), events.F("status", r.Status),
 		events.F("duration_ms", millis(r.Duration)), events.F("deadline_ms", c.deadlineMS()), events.F("attempts", r.Attempts))
 }
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -12,6 +12,11 @@
 // *Server. State is local to the instance and is rebuilt from responses after
 // a restart.
 //
+// A policy may want the load of some backend servers right before it decides
+// (server.Asker, policy fresh). Set.Ask then names them, round by round; who calls
+// Pick sends the questions first. Which backend servers of a large service an
+// instance prefers follows from their affinity, an order of its own.
+//
 // Load reports come with ordinary responses (Server.Observe), with replies to
 // probes (Set.Probed) and from other instances of the failure domain (Merge).
 //
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -243,6 +243,12 @@
 // Asks reports whether the policy wants the load of candidates before it decides.
 func (s *Set) Asks() bool { return s.settings.Load().asker != nil }
 
+// MeanLoad returns the mean of the requests at a backend server as reported.
+func (s *Set) MeanLoad() float64 { return s.shared.MeanLoad() }
+
+// MeanLatency returns the mean latency of successful attempts.
+func (s *Set) MeanLatency() time.Duration { return s.shared.MeanLatency() }
+
 // Ask appends to out the backend servers that the policy wants to ask for their
 // load in a round before it decides. A policy that decides without asking wants
 // none.
--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -33,8 +33,19 @@
 //
 // A response must state its length (Content-Length, chunked coding, or a
 // status without a body). A body that ends with the connection is refused,
-// because a cut cannot be told from its end. Body returns ErrTruncated or the
-// error of the context in place of io.EOF wherever the response is not whole.
+// because a cut cannot be told from its end, unless responses.unframed permits
+// it: then an end is taken for the end and a reset for a cut. Body returns
+// ErrTruncated or the error of the context in place of io.EOF wherever the
+// response is not whole.
+//
+// Where backend servers sign their responses (headers.signature), a success must
+// carry the signature and the name of its exchange. A response of an earlier
+// exchange that comes first is skipped, connections need no rest between two
+// exchanges, and bytes after a whole response cost one connection only.
+//
+// Where the list states the identity of a backend server, every request names it
+// (headers.expectInstance). A backend server that has taken over the address
+// refuses with 421, which proves that the request did not run.
 //
 // # Goroutines
 //
