Bound questions by their measured mean and the agreed 60 a second

The estimate took the most questions for the mean of 2.2 to 2.5 that are asked, and 45 for the agreed 60. Change: the mean number of questions before a decision is counted; the setting's default is what the platform agrees.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -81,7 +81,7 @@
 	CrossDomainMessagesPerSecond float64 `json:"crossDomainMessagesPerSecond"` // default 20
 	CrossDomainBytesPerSecond    float64 `json:"crossDomainBytesPerSecond"`    // default 8192
 	// QuestionsPerBackend bounds the questions of the policy fresh that all
-	// instances together ask one backend server in a second; default 45.
+	// instances together ask one backend server in a second; default 60.
 	QuestionsPerBackend float64 `json:"questionsPerBackend"`
 }
 
--- a/pkg/gateway/consult.go
+++ b/pkg/gateway/consult.go
@@ -23,9 +23,10 @@
 // before it decides: some of the own failure domain, then, where they promise too
 // little, others of it, then those of other failure domains.
 func (c *call) consult(ctx context.Context, exclude []*routing.Server) {
-	if !c.svc.set.Asks() || rand.Float64() >= c.questionShare() {
+	if !c.svc.set.Asks() || rand.Float64() >= c.svc.questionShare() {
 		return
 	}
+	c.svc.decisions.Add(1)
 	var room [typicalAsked]*routing.Server
 	for round := range routing.Rounds {
 		patience := nearPatience
@@ -38,9 +39,9 @@
 
 // questionShare is the share of decisions before which the budget allows
 // questions.
-func (c *call) questionShare() float64 {
-	s := c.settings
-	return measure.QuestionShare(s.Measuring.QuestionsPerBackend, s.Routing.MaxProbes, c.svc.set.MeanLoad(), c.svc.set.MeanLatency())
+func (s *service) questionShare() float64 {
+	asked := float64(s.questions.Load()) / float64(max(1, s.decisions.Load()))
+	return measure.QuestionShare(s.settings.Load().Measuring.QuestionsPerBackend, asked, s.set.MeanLoad(), s.set.MeanLatency())
 }
 
 // askAll asks backend servers for their load and waits until all have replied,
@@ -57,6 +58,7 @@
 	for _, server := range servers {
 		replied, isNew := server.Ask()
 		if isNew {
+			s.questions.Add(1)
 			s.background.Go(func() { s.askLoad(server) })
 		}
 		replies = append(replies, replied)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -43,6 +43,8 @@
 	limits   map[*routing.Server]*limit.Concurrency
 
 	background *tracker
+	decisions  atomic.Uint64 // before which loads were asked for
+	questions  atomic.Uint64 // that were asked for them
 
 	hedges  tally.Counter
 	retried tally.Counter
