Hand out what was last known to an entry that starts without the store

Change: everything (revision 0) is handed out regardless of its age; changes only by a relay that is in touch with the store.

--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -93,13 +93,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.contact.IsZero() || now.Sub(l.contact) > relayAge:
-		return nil, 0, nil, ErrNotReader
-	case after == 0:
+	case after == 0 && len(l.state) > 0:
+		// An entry that starts without the store is better off with what was
+		// last known than with nothing.
 		for _, c := range l.state {
 			out = append(out, c)
 		}
 		return out, l.revision, l.changed, nil
+	case l.contact.IsZero() || now.Sub(l.contact) > relayAge:
+		return nil, 0, nil, ErrNotReader
 	case after < l.oldest:
 		return nil, 0, nil, ErrHistoryLost
 	}
