Show versions, ages, ejections, latency and dropped lines as metrics

A reader of standard output that had stopped kept the process from ending (found while reading; TestStoppedReaderDoes- NotHoldUpTheEnd deadlocks on the former code). Ruled out: labels by route or backend server (1,400 routes can be added in one change; a histogram each would be unbounded). Gauges set at the scrape (tally hands values on once a second, so they would be those of the scrape before).

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -39,6 +40,7 @@
 		os.Exit(buildinfo.ExitUsage)
 	}
 	if checkOnly {
+		p.report()
 		return
 	}
 	if operatorsPort > 0 {
@@ -75,6 +77,14 @@
 	return &program{path: path, conf: on.Entry, on: on}, nil
 }
 
+// report says what a check of the settings file found besides errors.
+func (p *program) report() {
+	if p.on == nil || len(p.on.Unread) == 0 {
+		return
+	}
+	fmt.Printf("%d members of %s are not used: %s\n", len(p.on.Unread), p.path, strings.Join(p.on.Unread, " "))
+}
+
 // setOperatorsPort changes the port and keeps the address.
 func (p *program) setOperatorsPort(port int) {
 	if host, _, err := net.SplitHostPort(p.conf.Listen.Operators); err == nil {
--- a/pkg/entry/reload.go
+++ b/pkg/entry/reload.go
@@ -47,6 +47,7 @@
 func (e *Entry) ReportDropped(ctx context.Context, dropped func() uint64) {
 	tick := time.NewTicker(reloadPeriod)
 	defer tick.Stop()
+	counter := e.metrics.Scope.Counter("log_lines_dropped")
 	var reported uint64
 	for {
 		select {
@@ -56,6 +57,7 @@
 		}
 		if n := dropped(); n > reported {
 			e.rec.Record(EventLinesDropped, events.F("lines", n-reported))
+			counter.Inc(int64(n - reported))
 			reported = n
 		}
 	}
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -40,6 +40,7 @@
 	loops.Go(func() { e.runner.Run(work) })
 	loops.Go(func() { e.gateway.Run(work) })
 	loops.Go(func() { e.followReadiness(work) })
+	loops.Go(func() { e.reportGauges(work) })
 	e.rec.Record(EventStarted, events.F("instance", e.conf.Instance), events.F("callers", e.conf.Listen.Callers),
 		events.F("peers", e.conf.Listen.Peers), events.F("operators", e.conf.Listen.Operators))
 
--- a/pkg/events/writer_test.go
+++ b/pkg/events/writer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 )
@@ -25,6 +26,18 @@
 	w.Close()
 }
 
+// Guards against a reader of standard output that stops reading and so keeps the
+// process from ending.
+func TestStoppedReaderDoesNotHoldUpTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, stopped := io.Pipe()
+		w := NewWriter(stopped)
+		_, _ = w.Write([]byte("line\n"))
+		w.Close() // one that waits for the reader ends the test as a deadlock
+		require.NoError(t, r.Close())
+	})
+}
+
 // Guards against lines that share one buffer and overwrite each other.
 func TestWriterKeepsLines(t *testing.T) {
 	var out bytes.Buffer
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -39,7 +39,7 @@
 		return r.loadFromPeer(err)
 	}
 	r.replace(append(all, since...), revision)
-	r.log.touch(time.Now())
+	r.reached()
 	return revision, nil
 }
 
@@ -100,11 +100,19 @@
 	return next, nil
 }
 
+// reached notes an answer of the store.
+func (r *Reader) reached() {
+	now := time.Now()
+	r.log.touch(now)
+	r.fed.Store(now.UnixNano())
+}
+
 // next reads changes from a relay or, where none will do, from the store.
 func (r *Reader) next(revision uint64) ([]Change, uint64, error) {
 	if address, ok := r.relay(time.Now()); ok {
 		changes, next, err := r.fromRelay(address, revision)
 		if err == nil {
+			r.fed.Store(time.Now().UnixNano())
 			return changes, max(revision, next), nil
 		}
 		// What the relay may have kept back is read at once.
@@ -116,7 +124,7 @@
 	if r.note(err) != nil {
 		return nil, 0, err
 	}
-	r.log.touch(time.Now())
+	r.reached()
 	return changes, max(revision, next), nil
 }
 
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -71,6 +71,7 @@
 	loop   sync.WaitGroup
 	log    relayLog
 	served atomic.Int64 // when a peer asked last, Unix nanoseconds
+	fed    atomic.Int64 // last answer of the store or of a relay, Unix nanoseconds; 0: none
 	list   registrations
 	avoid  map[string]time.Time // relays that failed, until when
 	failed time.Time            // last failed call to the store
@@ -93,6 +94,16 @@
 	return r
 }
 
+// Age returns how long ago the store or a relay answered last; 0 before the first
+// answer.
+func (r *Reader) Age() time.Duration {
+	at := r.fed.Load()
+	if at == 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, at))
+}
+
 // Close ends the reading.
 func (r *Reader) Close() {
 	r.stop()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -243,12 +243,16 @@
 	service, outcome, reason string
 }
 
-// count adds a request to the counter of its outcome. Only known services get
-// a label of their own, so that callers cannot create metrics.
-func (g *Gateway) count(s *service, res result) {
+// count adds a request to the counter of its outcome, and to the latency of its
+// service if it was answered. Only known services get a label of their own, so
+// that callers cannot create metrics.
+func (g *Gateway) count(s *service, res result, took time.Duration) {
 	key := outcomeKey{service: "none", outcome: string(res.outcome), reason: res.reason}
 	if s != nil {
 		key.service = s.name
+		if res.outcome == audit.Answered {
+			s.latency.RecordDuration(took)
+		}
 	}
 	counter, ok := g.outcomes.Load(key)
 	if !ok {
--- /dev/null
+++ b/pkg/gateway/gauges.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// latencyBuckets are the upper bounds of the latency histogram, doubled from 1 ms
+// to 16 s.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// gauges show the state of a service. They are set once a second.
+type gauges struct {
+	backends    tally.Gauge // in the instance list and not leaving
+	ejected     tally.Gauge
+	draining    tally.Gauge
+	connections tally.Gauge // to backend servers, idle and in use
+	retryTokens tally.Gauge // extra attempts that may be sent now
+}
+
+func newGauges(scope tally.Scope) gauges {
+	return gauges{
+		backends: scope.Gauge("backends"), ejected: scope.Gauge("backends_ejected"), draining: scope.Gauge("backends_draining"),
+		connections: scope.Gauge("backend_connections"), retryTokens: scope.Gauge("retry_tokens"),
+	}
+}
+
+// report sets the gauges of the service.
+func (s *service) report() {
+	ejected, draining := s.outliers.Counts()
+	s.gauges.backends.Update(float64(len(s.set.Servers())))
+	s.gauges.ejected.Update(float64(ejected))
+	s.gauges.draining.Update(float64(draining))
+	s.gauges.connections.Update(float64(s.pool.Open()))
+	s.gauges.retryTokens.Update(s.retries.Tokens())
+}
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -44,6 +44,7 @@
 		if isSlowRound {
 			s.budgets.Report(s.now(), g.o.Recorder, s.name)
 			s.retries.Report(g.o.Recorder, s.name)
+			s.report()
 			s.checkEjected(ctx, probes)
 		}
 		if !idle && !s.set.Asks() {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -91,7 +91,7 @@
 	c.g.log.Request(c.rec)
 	c.tell()
 	c.reportLoss(res)
-	c.g.count(c.svc, res)
+	c.g.count(c.svc, res, c.rec.Duration)
 	if res.outcome == audit.Aborted && res.reason == reasonResponseCut {
 		// net/http closes the connection without ending the response, which
 		// is the only way left to tell the caller that it is not whole.
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -49,6 +49,8 @@
 	hedges  tally.Counter
 	retried tally.Counter
 	asked   tally.Counter
+	latency tally.Histogram // of requests that were answered
+	gauges  gauges
 }
 
 // serviceRecorder adds the name of the service to the events of packages that
@@ -88,6 +90,8 @@
 		hedges:     scope.Counter("hedges"),
 		retried:    scope.Counter("retries"),
 		asked:      scope.Counter("load_questions"),
+		latency:    scope.Histogram("request_latency", latencyBuckets),
+		gauges:     newGauges(scope),
 		background: &g.background,
 	}
 	s.settings.Store(settings)
--- a/pkg/membership/records.go
+++ b/pkg/membership/records.go
@@ -144,6 +144,20 @@
 	return cmp.Compare(a.member.Incarnation, b.member.Incarnation)
 }
 
+// Size returns the number of instances that take part in exchanges, this one
+// included.
+func (t *Table) Size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 1
+	for _, r := range t.records {
+		if r.live() {
+			n++
+		}
+	}
+	return n
+}
+
 // Members returns the own record and those of all instances heard of, in the
 // order of names. Instances that left are included until they are forgotten.
 func (t *Table) Members() []*peerpb.Member {
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -8,6 +8,7 @@
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 )
@@ -22,10 +23,12 @@
 	closer  io.Closer
 }
 
-// New returns a root scope with the prefix "lentilpin". A metric that cannot
+// New returns a root scope with the prefix "lentilpin". The page also shows
+// processor time and memory, which are read only when it is asked for. A metric that cannot
 // be registered twice is dropped rather than stopping the process.
 func New(tags map[string]string) *Metrics {
 	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}), collectors.NewGoCollector())
 	reporter := promreporter.NewReporter(promreporter.Options{
 		Registerer:      registry,
 		Gatherer:        registry,
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -381,6 +381,23 @@
 	return info, true
 }
 
+// Counts returns how many backend servers of the list are ejected and how many
+// are draining.
+func (d *Detector) Counts() (ejected, draining int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.order {
+		switch s.state {
+		case Ejected:
+			ejected++
+		case Draining:
+			draining++
+		case Healthy, SlowStart:
+		}
+	}
+	return ejected, draining
+}
+
 // note records an event once the mutex is free.
 func (d *Detector) note(e *events.Event, fields ...events.Field) {
 	d.pending = append(d.pending, pendingEvent{e, fields})
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -49,6 +49,14 @@
 	return b.capacity()
 }
 
+// Tokens returns the extra attempts that could be taken when the budget was last
+// used.
+func (b *Budget) Tokens() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens
+}
+
 func (b *Budget) capacity() float64 { return max(b.burst, b.perSecond) }
 
 // Request counts one first attempt.
--- a/pkg/transport/pool.go
+++ b/pkg/transport/pool.go
@@ -145,6 +145,19 @@
 	p.sweep = time.AfterFunc(sweepPeriod(s), p.runSweep)
 }
 
+// Open returns the number of connections, idle ones included.
+func (p *Pool) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, b := range p.backends {
+		b.mu.Lock()
+		n += b.open
+		b.mu.Unlock()
+	}
+	return n
+}
+
 // Retire closes the idle connections to a backend server.
 func (p *Pool) Retire(address string) {
 	p.mu.Lock()
