Read the store through one entry of a failure domain; meet before the first start

Ruled out: longer waits (a lost answer or a missed change shows only after them); a confirming read (the start needs none, watchTree confirms by the same answer). TestRelaysCutOffFromTheStore keeps its set of entries (2 to 5): its loop began at Readers, which was 2, and entries 0 and 1 are the ones that it cuts off.

--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -38,6 +38,9 @@
 	// linearizable, so that one of them confirms a version; default false.
 	PlatformConfirms bool   `json:"platformConfirms"`
 	LogLevel         string `json:"logLevel"` // default info
+	// FirstStart says that the whole system starts for the first time, so that no
+	// caller waits for this instance yet. Set by the platform's adapter only.
+	FirstStart bool `json:"-"`
 	// Callers holds towards callers until the first settings tree is in force.
 	Callers dynamic.Callers `json:"-"`
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -60,7 +60,8 @@
 	return assemble(conf, log, func(e *Entry) Platform {
 		e.feed = feed.NewReader(feed.Options{
 			Store: store, Translator: translator, Recorder: e.rec, Peers: changes{e},
-			Relays: func(skip func(string) bool) ([]string, bool) { return e.table.Readers(feed.Readers, skip) },
+			Relays:     func(skip func(string) bool) ([]string, bool) { return e.table.Readers(feed.Readers, skip) },
+			FirstStart: conf.FirstStart,
 		})
 		return e.feed
 	})
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -148,14 +148,17 @@
 	return p.f.readers[i].Serve(ctx, after, wait)
 }
 
-// newFleet starts n entries, of which the first two read for the others.
-func newFleet(n int) *fleet {
+// newFleet starts n entries, of which the first read for the others.
+func newFleet(n int) *fleet { return newFleetOn(newFakeStore(), n, false) }
+
+func newFleetOn(store *fakeStore, n int, firstStart bool) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{store: newFakeStore(), frozen: map[int]bool{}, cut: map[int]bool{}, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
+	f := &fleet{store: store, frozen: map[int]bool{}, cut: map[int]bool{}, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
 	for i := range n {
 		f.readers = append(f.readers, NewReader(Options{
 			Store: cutStore{f.store, func() bool { return f.isCut(i) }}, Translator: words{}, Recorder: events.Discard{}, Peers: fleetPeers{f},
-			Relays: func(skip func(string) bool) ([]string, bool) { return readersOf(i, skip) },
+			Relays:     func(skip func(string) bool) ([]string, bool) { return readersOf(i, skip) },
+			FirstStart: firstStart,
 		}))
 	}
 	for i, r := range f.readers {
@@ -319,7 +322,7 @@
 		time.Sleep(inForce)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for i := Readers; i < len(f.readers); i++ {
+		for i := 2; i < len(f.readers); i++ {
 			require.Equal(t, map[string]bool{"server/b": true}, f.lists[i], "entry %d", i)
 		}
 	})
@@ -408,3 +411,38 @@
 		require.NoError(rt, failed)
 	})
 }
+
+// Guards against a fleet whose first start costs a call of every entry, and against
+// entries that then do not follow the store.
+func TestFirstStartReadsOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("server/a", "stock 1")
+		store.put("tree", "1")
+		f := newFleetOn(store, 20, true)
+		defer f.close()
+		time.Sleep(meetTime + 2*loadTime)
+		require.NoError(t, f.agrees())
+		store.set(func() {
+			// The reader reads everything, then what has changed since, then waits.
+			require.LessOrEqual(t, store.calls, 3*Readers)
+		})
+		store.put("server/b", "stock 1")
+		time.Sleep(inForce)
+		require.NoError(t, f.agrees())
+	})
+}
+
+// Guards against an entry that waits for good at its first start for a reader
+// that is dead.
+func TestFirstStartWithoutTheReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("tree", "1")
+		f := newFleetOn(store, 6, true)
+		defer f.close()
+		f.freeze(0, true)
+		time.Sleep(meetTime + loadTime + 2*inForce)
+		require.NoError(t, f.agrees())
+	})
+}
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -12,8 +12,13 @@
 
 // run reads everything, then follows the changes; after an error it starts over.
 func (r *Reader) run() {
+	load := r.load
+	if r.o.FirstStart {
+		load = r.loadAtFirstStart
+	}
 	for r.ctx.Err() == nil {
-		revision, err := r.load()
+		revision, err := load()
+		load = r.load
 		for err == nil {
 			revision, err = r.follow(revision)
 		}
@@ -24,6 +29,23 @@
 	}
 }
 
+// loadAtFirstStart takes everything from the reader of the failure domain, where
+// this entry is another one. All entries read the store otherwise, because none
+// knows of a reader yet.
+func (r *Reader) loadAtFirstStart() (uint64, error) {
+	if !sleep(r.ctx, meetTime) {
+		return 0, r.ctx.Err()
+	}
+	if _, ok := r.relay(time.Now()); !ok || !sleep(r.ctx, loadTime) {
+		return r.load()
+	}
+	revision, err := r.loadFromPeer(ErrNotReader)
+	if err != nil {
+		return r.load()
+	}
+	return revision, nil
+}
+
 // load reads everything and then, so that it is exact, the changes since.
 func (r *Reader) load() (uint64, error) {
 	all, revision, err := r.o.Store.Snapshot(r.ctx, true)
@@ -109,15 +131,21 @@
 
 // next reads changes from a relay or, where none will do, from the store.
 func (r *Reader) next(revision uint64) ([]Change, uint64, error) {
-	if address, ok := r.relay(time.Now()); ok {
+	address, ok := r.relay(time.Now())
+	if !ok {
+		if !sleep(r.ctx, storeGap) {
+			return nil, 0, r.ctx.Err()
+		}
+		// A relay may have been heard of meanwhile, above all after the start.
+		address, ok = r.relay(time.Now())
+	}
+	if ok {
 		changes, next, err := r.fromRelay(address, revision)
 		if err == nil {
 			r.fed.Store(time.Now().UnixNano())
 			return changes, max(revision, next), nil
 		}
 		// What the relay may have kept back is read at once.
-	} else if !sleep(r.ctx, storeGap) {
-		return nil, 0, r.ctx.Err()
 	}
 	wait := storeWait/2 + rand.N(storeWait/2)
 	changes, next, err := r.o.Store.Changes(r.ctx, revision, r.list.patience(time.Now(), wait))
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -30,8 +30,13 @@
 	avoidFor         = 15 * time.Second
 	avoidStartingFor = time.Second
 	// Readers is the number of entries in a failure domain that read the store
-	// for the others.
-	Readers = 2
+	// for the others. The entry that ranks next takes over from one that fails;
+	// until it does, each of the others reads the store itself.
+	Readers = 1
+	// meetTime is how long entries that all start at once take to hear of each
+	// other, and loadTime how long the reader then takes to read everything.
+	meetTime = 500 * time.Millisecond
+	loadTime = 300 * time.Millisecond
 	// retryMin and retryMax bound the wait after a failed call; it is drawn at
 	// random.
 	retryMin = 100 * time.Millisecond
@@ -59,6 +64,8 @@
 	// failure domain, and whether this entry is one of them. Addresses that
 	// skip names do not count.
 	Relays func(skip func(address string) bool) (addresses []string, isOwn bool)
+	// FirstStart says that all entries start now and nobody calls them yet.
+	FirstStart bool
 }
 
 // Reader keeps the settings tree and the instance list of an entry up to date.
