Ask further backend servers where those that replied are slow; weigh first samples alike

The second and third round of questions were left out whenever a backend server of the subset had never reported: it counted as fast when the policy decided whether to ask again, and as unknown when it chose. And the mean latency of a service began with its first sample, of which 98 of 100 parts remained after each further one: one response after 11 ms made a service with requests of 400 ms look busy, and the budget of questions allowed 5 to 40 of 100 decisions to ask for half a minute. The usual latency of a route, on which the hedge delay depends, began in the same way. Ruled out: patience (all questions had been answered within 10 ms), processor. Change: fresh.lowest counts only those whose load is known; pkg/mean, one running mean that weighs its first 50 samples alike, in place of two copies; no mean latency below 10 responses. Tests: TestAsk expected no second round while unknown ones are left, which was the fault; it now demands three others of the own failure domain that were not asked.

--- a/pkg/route/usual.go
+++ b/pkg/route/usual.go
@@ -1,38 +1,35 @@
 package route
 
 import (
-	"math"
-	"sync/atomic"
 	"time"
-)
 
-// usualGain is the weight of one response in the usual latency: about the last 50
-// count.
-const usualGain = 0.02
+	"lentilpin/pkg/mean"
+)
 
 // Usual is the latency that requests of a route usually have at a backend server
-// at its usual speed. Two responses at one moment may count as one.
+// at its usual speed.
 type Usual struct {
-	seconds atomic.Uint64 // float64 bits; 0: no response yet
+	seconds mean.Mean
 }
 
+// minUsual is the number of responses from which on one that took very long is
+// bounded: before, it is not known what is long.
+const minUsual = 10
+
 // Observe takes the latency of a good response from a backend server that stated
 // a slowdown when it was chosen; a slowdown below 1 counts as 1.
 func (u *Usual) Observe(latency time.Duration, slowdown float64) {
 	sample := latency.Seconds() / max(1, slowdown)
-	old := math.Float64frombits(u.seconds.Load())
-	if old == 0 {
-		u.seconds.Store(math.Float64bits(sample))
-		return
+	if u.seconds.Count() >= minUsual {
+		// One response that took very long says little about the usual one.
+		sample = min(sample, 2*u.seconds.Value())
 	}
-	// One response that took very long says little about the usual one.
-	sample = min(sample, 2*old)
-	u.seconds.Store(math.Float64bits(old + usualGain*(sample-old)))
+	u.seconds.Add(sample)
 }
 
 // Latency returns the usual latency; 0: not known yet.
 func (u *Usual) Latency() time.Duration {
-	return time.Duration(math.Float64frombits(u.seconds.Load()) * float64(time.Second))
+	return time.Duration(u.seconds.Value() * float64(time.Second))
 }
 
 // Bounds of the hedge delay as multiples of the usual latency: earlier, most
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -161,11 +161,14 @@
 	}
 }
 
-// lowest returns the lowest cost.
+// lowest returns the lowest cost of those whose load is known. One that is not
+// known would not be chosen, so it promises nothing.
 func (p *Policy) lowest(now time.Duration, servers []*server.Server) float64 {
 	out := math.Inf(1)
 	for _, s := range servers {
-		out = min(out, p.cost(now, s))
+		if _, _, known := s.Reported(now); known {
+			out = min(out, p.cost(now, s))
+		}
 	}
 	return out
 }
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -90,7 +90,11 @@
 		w.report(index(w, s), 7, 0, 0)
 	}
 	again := w.ask(server.Again)
-	require.Empty(t, again, "the others are unknown, which promises enough")
+	require.Len(t, again, 3, "all that replied are slow, and one without a reply is not chosen")
+	for _, s := range again {
+		require.True(t, s.Local())
+		require.NotContains(t, first, s)
+	}
 	for i := range 9 {
 		w.report(i, 7, 0, 0)
 	}
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -281,7 +281,7 @@
 // this one, inside or outside the own failure domain.
 func (s *Server) Expected(now time.Duration) float64 {
 	own := math.Float64frombits(s.latency.Load())
-	mean := math.Float64frombits(s.shared.side(s.local).Load())
+	mean := s.shared.side(s.local).Value()
 	switch {
 	case own == 0 && mean == 0:
 		return float64(s.shared.MeanLatency())
