Leave 0.8 s between reads of the store, reach it only in silence, keep the heap small

Something changes in the list all the time there, so that each of five readers called once in 0.5 s, and each asked besides every 0.4 s whether it still reached the store although it had just been answered. Ruled out: a gap above 0.9 s, because an entry that learns of a change through a relay has 2 s for it and a relay that fails costs one of them.

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -118,6 +119,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetOutput(lines)
 
+	debug.SetGCPercent(p.conf.Limits.GCPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -71,6 +71,7 @@
 	MaxClaims      int `json:"maxClaims"`      // default 200000
 	RequestRecords int `json:"requestRecords"` // default 50000
 	AuditRecords   int `json:"auditRecords"`   // default 5000
+	GCPercent      int `json:"gcPercent"`      // default 100; heap growth in percent of the live heap before a collection, as GOGC
 	MaxTreeBytes   int `json:"maxTreeBytes"`   // default 1048576
 }
 
@@ -89,7 +90,7 @@
 		LogLevel:      "info",
 		Limits: Limits{
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
-			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, MaxTreeBytes: 1 << 20,
+			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20,
 		},
 		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
 		Listen:   Listen{ReadyPath: "/readyz"},
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -30,6 +30,7 @@
 	away     bool // calls fail
 	deaf     bool // waiting calls hear nothing
 	calls    int
+	reached  int // calls of Reach
 }
 
 func newFakeStore() *fakeStore {
@@ -108,6 +109,7 @@
 func (s *fakeStore) Reach(context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reached++
 	if s.away {
 		return errAway
 	}
@@ -346,6 +348,27 @@
 	})
 }
 
+// Guards against a relay that reaches for the store although this has just
+// answered: each such call is counted.
+func TestRelayReachesOnlyInSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		defer f.close()
+		time.Sleep(2 * avoidFor)
+		reached := func() (n int) {
+			f.store.set(func() { n = f.store.reached })
+			return n
+		}
+		before := reached()
+		const span = 30 * time.Second
+		for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			f.store.put("server/a", "stock 1")
+		}
+		// One call between two answers, which are storeGap apart.
+		require.LessOrEqual(t, reached()-before, int(span/storeGap)+1)
+	})
+}
+
 // Guards against an entry that starts while the store is away and knows nothing
 // although its peers do.
 func TestStartWithoutTheStore(t *testing.T) {
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -17,8 +17,9 @@
 	// change that the waiting call has missed, is noticed only after it.
 	storeWait = 3500 * time.Millisecond
 	// storeGap is left between two calls to the store, so that many changes in
-	// a row cost one call.
-	storeGap = 500 * time.Millisecond
+	// a row cost one call. In a large fleet something always changes, so that it
+	// sets both the calls of a reader and how late a change is known.
+	storeGap = 800 * time.Millisecond
 	// relayWait is how long a call to a relay waits, and relayMargin how much
 	// later it counts as failed: a relay may be frozen or cut off, and what it
 	// does not tell must be read elsewhere within the time for a change to be
@@ -45,9 +46,10 @@
 	// serve as a relay: one that is cut off from the store must not keep others
 	// waiting while changes have to be in force. A waiting call shows nothing
 	// for seconds, so that a relay which is asked by others reaches for the
-	// store every reachEvery with a cheap call of at most reachTimeout.
+	// store with a cheap call of at most reachTimeout when the last answer is
+	// older than reachEvery.
 	relayAge     = time.Second
-	reachEvery   = 400 * time.Millisecond
+	reachEvery   = 450 * time.Millisecond
 	reachTimeout = 350 * time.Millisecond
 	// servedFor is how long after the last call of a peer an entry keeps doing
 	// so.
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -149,10 +149,16 @@
 
 // keepReach shows, while peers ask this entry, whether the store can be reached.
 func (r *Reader) keepReach() {
-	for sleep(r.ctx, reachEvery) {
-		if time.Since(time.Unix(0, r.served.Load())) > servedFor || r.log.remaining(time.Now()) < -servedFor {
+	for wait := reachEvery; sleep(r.ctx, wait); {
+		wait = reachEvery
+		age := relayAge - r.log.remaining(time.Now()) // of the last answer
+		if time.Since(time.Unix(0, r.served.Load())) > servedFor || age > relayAge+servedFor {
 			continue // nobody asks, or this entry has not read the store itself for long
 		}
+		if age < reachEvery {
+			wait = reachEvery - age
+			continue
+		}
 		ctx, cancel := context.WithTimeout(r.ctx, reachTimeout)
 		if r.o.Store.Reach(ctx) == nil {
 			r.log.refresh(time.Now())
