Hedge only where the second backend server has room

A hedge was sent to whatever the policy chose, also to a backend server whose slots were all taken, where it delays the requests of others and is rarely faster than the first attempt. Ruled out: a smaller budget (it binds in quiet times, in which hedges help). Tests: TestHasRoom.

--- a/pkg/gateway/read.go
+++ b/pkg/gateway/read.go
@@ -81,7 +81,10 @@
 // hedge starts a second attempt only where a server has capacity now: a hedge
 // that waits in the queue would delay the results of the first attempt.
 func (rd *reader) hedge() {
-	if rd.started >= rd.maxAttempts() || rd.ctx.Err() != nil || !rd.svc.retries.TakeHedge(rd.g.now()) {
+	if rd.started >= rd.maxAttempts() || rd.ctx.Err() != nil {
+		return
+	}
+	if !rd.svc.set.HasRoom(rd.g.now(), rd.tried) || !rd.svc.retries.TakeHedge(rd.g.now()) {
 		return
 	}
 	if server := rd.svc.set.Pick(rd.g.now(), rd.tried); server != nil {
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -61,6 +61,12 @@
 	jitter = 0.5
 	// tieBreak does the same for the choice among those whose load is known.
 	tieBreak = 0.05
+	// roomShare is the share of the slots up to which a backend server takes a
+	// request that is sent twice: some slow down when they are nearly full, and in
+	// an overload each hedge makes another request late. roomSlowdown is the
+	// slowdown above which the second request would not overtake the first.
+	roomShare    = 0.8
+	roomSlowdown = 2
 	// nearSubset and farSubset are the numbers of backend servers in the own and
 	// in other failure domains that an instance chooses from.
 	nearSubset = 12
@@ -142,6 +148,24 @@
 	return out
 }
 
+// HasRoom implements server.RoomJudge: the backend server has stated its load
+// recently, is not slow, and is not nearly full.
+func (p *Policy) HasRoom(now time.Duration, s *server.Server) bool {
+	report, age, known := s.Reported(now)
+	if !known || age > ageTime || s.IsMute(now) || report.Slowdown > roomSlowdown {
+		return false
+	}
+	return float64(report.Load()+s.BegunSinceReport()+1) <= roomShare*slotsOf(report)
+}
+
+// slotsOf returns the requests that a backend server runs at once.
+func slotsOf(report server.Report) float64 {
+	if report.Slots > 0 {
+		return float64(report.Slots)
+	}
+	return defaultSlots
+}
+
 // fill takes the usable backend servers of lowest affinity.
 func (set *subset) fill(l *server.List, exclude []*server.Server) {
 	set.take(l, 0, l.Local(), nearSubset, exclude)
@@ -180,10 +204,7 @@
 	if known {
 		trust = math.Exp(-float64(age) / float64(ageTime))
 	}
-	slots := float64(defaultSlots)
-	if report.Slots > 0 {
-		slots = float64(report.Slots)
-	}
+	slots := slotsOf(report)
 	load := trust*float64(report.Load()) + (1-trust)*p.shared.MeanLoad() + float64(s.BegunSinceReport())
 	cost := p.slowdown(now, s, report, known, trust)
 	cost *= 1 + max(0, load+1-slots)/slots + busyShare*load/slots
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -79,6 +79,38 @@
 	}
 }
 
+// Guards against hedges that make an overload worse, or that wait longer than the
+// request that they are to overtake.
+func TestHasRoom(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		know func(w *world)
+		want bool
+	}{
+		{"nothing known", func(*world) {}, false},
+		{"idle", func(w *world) { w.report(0, 1, 0, 0) }, true},
+		{"one more below four fifths of the slots", func(w *world) { w.report(0, 1, 3, 0) }, true},
+		{"nearly full", func(w *world) { w.report(0, 1, 4, 0) }, false},
+		{"requests wait", func(w *world) { w.report(0, 1, 6, 2) }, false},
+		{"slow", func(w *world) { w.report(0, 7, 0, 0) }, false},
+		{"own attempts since the report", func(w *world) {
+			w.report(0, 1, 2, 0)
+			w.servers[0].Begin()
+			w.servers[0].Begin()
+		}, false},
+		{"mute", func(w *world) { w.report(0, 1, 0, 0); w.servers[0].Ask(); w.servers[0].Replied(now, false) }, false},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			w := newWorld(1, 0)
+			tt.know(w)
+			require.Equal(t, tt.want, w.policy.HasRoom(now, w.servers[0]))
+		})
+	}
+	w := newWorld(1, 0)
+	w.report(0, 1, 0, 0)
+	require.False(t, w.policy.HasRoom(now+time.Second, w.servers[0]), "the report is old")
+}
+
 // Guards against questions without end, about what is known, and to other failure
 // domains without need.
 func TestAsk(t *testing.T) {
--- a/pkg/routing/server/list.go
+++ b/pkg/routing/server/list.go
@@ -51,6 +51,12 @@
 	Ask(now time.Duration, l *List, r *rand.Rand, round Round, exclude, out []*Server) []*Server
 }
 
+// RoomJudge is a Policy that can tell whether a backend server takes one more
+// request without slowing down those that it has.
+type RoomJudge interface {
+	HasRoom(now time.Duration, s *Server) bool
+}
+
 // Round is one of the questions before a decision.
 type Round uint8
 
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -80,6 +80,7 @@
 	policy   server.Policy
 	listener server.ProbeListener // nil: the policy keeps no replies
 	asker    server.Asker         // nil: the policy decides without asking
+	rooms    server.RoomJudge     // nil: the policy cannot tell
 }
 
 // shards is the number of random sources. A decision takes the first one that
@@ -132,6 +133,7 @@
 	}
 	next.listener, _ = next.policy.(server.ProbeListener)
 	next.asker, _ = next.policy.(server.Asker)
+	next.rooms, _ = next.policy.(server.RoomJudge)
 	s.shared.SetErrorLatency(errorLatency(settings))
 	s.settings.Store(next)
 	if old != nil && old.settings.PerInstance() != settings.PerInstance() {
@@ -240,6 +242,20 @@
 	return nil
 }
 
+// HasRoom reports whether the backend server that Pick would select has room for
+// an attempt that is not needed, such as a hedge. Policies that cannot tell say
+// yes.
+func (s *Set) HasRoom(now time.Duration, exclude []*Server) bool {
+	src := s.lockSource()
+	defer src.mu.Unlock()
+	st := s.settings.Load()
+	x := st.policy.Choose(now, s.list.Load(), src.rand, exclude)
+	if x == nil {
+		return false
+	}
+	return st.rooms == nil || st.rooms.HasRoom(now, x)
+}
+
 // Asks reports whether the policy wants the load of candidates before it decides.
 func (s *Set) Asks() bool { return s.settings.Load().asker != nil }
 
