Let an entry that is asked read the store; try again at once when a relay cannot reach it

(2) A relay that lost one answer did not reach for the store again in time, and with 0.8 s between reads nothing else showed that it could. Change: an entry that was asked within 5 s reads the store whatever its rank; a call that shows the store to be reachable lasts 0.3 s at most (0.35) and is repeated at once; a relay may be 1.2 s (1.0) without an answer, which leaves room for three.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,6 +32,7 @@
 	deaf     bool // waiting calls hear nothing
 	calls    int
 	reached  int // calls of Reach
+	lost     int // so many more calls of Reach get no answer
 }
 
 func newFakeStore() *fakeStore {
@@ -106,10 +108,16 @@
 	}
 }
 
-func (s *fakeStore) Reach(context.Context) error {
+func (s *fakeStore) Reach(ctx context.Context) error {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.reached++
+	if s.lost > 0 {
+		s.lost--
+		s.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	defer s.mu.Unlock()
 	if s.away {
 		return errAway
 	}
@@ -151,15 +159,15 @@
 }
 
 // newFleet starts n entries, of which the first read for the others.
-func newFleet(n int) *fleet { return newFleetOn(newFakeStore(), n, false) }
+func newFleet(n int) *fleet { return newFleetOn(newFakeStore(), n, false, readersOf) }
 
-func newFleetOn(store *fakeStore, n int, firstStart bool) *fleet {
+func newFleetOn(store *fakeStore, n int, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fleet{store: store, frozen: map[int]bool{}, cut: map[int]bool{}, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
 	for i := range n {
 		f.readers = append(f.readers, NewReader(Options{
 			Store: cutStore{f.store, func() bool { return f.isCut(i) }}, Translator: words{}, Recorder: events.Discard{}, Peers: fleetPeers{f},
-			Relays:     func(skip func(string) bool) ([]string, bool) { return readersOf(i, skip) },
+			Relays:     func(skip func(string) bool) ([]string, bool) { return relays(i, skip) },
 			FirstStart: firstStart,
 		}))
 	}
@@ -369,6 +377,52 @@
 	})
 }
 
+// Guards against entries that do not know of the first by rank, ask the second, are
+// told that it does not read the store, and all read it themselves. On
+// kbs-gateway-grown this cost 1,000 of 1,500 calls of a day with added instances.
+func TestRanksThatDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var apart atomic.Bool
+		hidden := func(own int, skip func(string) bool) ([]string, bool) {
+			if own > 1 && apart.Load() {
+				return readersOf(own, func(a string) bool { return a == "0" || skip(a) })
+			}
+			return readersOf(own, skip)
+		}
+		f := newFleetOn(newFakeStore(), 20, false, hidden)
+		defer f.close()
+		time.Sleep(2 * avoidFor)
+		apart.Store(true)
+		time.Sleep(servedFor)
+		f.store.set(func() { f.store.calls = 0 })
+		const span = 30 * time.Second
+		time.Sleep(span)
+		f.store.set(func() { require.LessOrEqual(t, f.store.calls, 2*(int(span/(storeWait/2+storeGap))+1)) })
+		f.store.put("server/b", "stock 1")
+		time.Sleep(inForce)
+		require.NoError(t, f.agrees())
+	})
+}
+
+// Guards against a lost packet between a relay and the store that turns all its
+// peers to the store. On kbs-gateway-grown this cost 80 of 310 calls of a quiet day.
+func TestLostReachCostsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(20)
+		defer f.close()
+		time.Sleep(2 * avoidFor)
+		f.store.set(func() { f.store.calls = 0 })
+		const span = 30 * time.Second
+		for range 10 {
+			f.store.set(func() { f.store.lost = 2 })
+			time.Sleep(span / 10)
+		}
+		f.store.set(func() {
+			require.LessOrEqual(t, f.store.calls, Readers*(int(span/(storeWait/2+storeGap))+1))
+		})
+	})
+}
+
 // Guards against an entry that starts while the store is away and knows nothing
 // although its peers do.
 func TestStartWithoutTheStore(t *testing.T) {
@@ -442,7 +496,7 @@
 		store := newFakeStore()
 		store.put("server/a", "stock 1")
 		store.put("tree", "1")
-		f := newFleetOn(store, 20, true)
+		f := newFleetOn(store, 20, true, readersOf)
 		defer f.close()
 		time.Sleep(meetTime + 2*loadTime)
 		require.NoError(t, f.agrees())
@@ -462,7 +516,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := newFakeStore()
 		store.put("tree", "1")
-		f := newFleetOn(store, 6, true)
+		f := newFleetOn(store, 6, true, readersOf)
 		defer f.close()
 		f.freeze(0, true)
 		time.Sleep(meetTime + loadTime + 2*inForce)
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -156,9 +156,11 @@
 	return changes, max(revision, next), nil
 }
 
-// relay chooses a relay at random; false: this entry reads the store itself.
+// relay chooses a relay at random; false: this entry reads the store itself. An
+// entry that is asked by others reads it whatever its own rank: they may not know
+// yet of the one that ranks before it.
 func (r *Reader) relay(now time.Time) (string, bool) {
-	if r.o.Peers == nil || r.o.Relays == nil {
+	if r.o.Peers == nil || r.o.Relays == nil || r.isAsked(now) {
 		return "", false
 	}
 	addresses, isOwn := r.o.Relays(func(address string) bool { return now.Before(r.avoid[address]) })
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -48,11 +48,14 @@
 	// for seconds, so that a relay which is asked by others reaches for the
 	// store with a cheap call of at most reachTimeout when the last answer is
 	// older than reachEvery.
-	relayAge     = time.Second
+	// A lost packet must not turn all peers to the store, so that there is time
+	// for three such calls.
+	relayAge     = 1200 * time.Millisecond
 	reachEvery   = 450 * time.Millisecond
-	reachTimeout = 350 * time.Millisecond
-	// servedFor is how long after the last call of a peer an entry keeps doing
-	// so.
+	reachTimeout = 300 * time.Millisecond
+	reachAgain   = 10 * time.Millisecond
+	// servedFor is how long after the last call of a peer an entry reads the
+	// store for its peers.
 	servedFor = 5 * time.Second
 )
 
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -152,17 +152,28 @@
 	for wait := reachEvery; sleep(r.ctx, wait); {
 		wait = reachEvery
 		age := relayAge - r.log.remaining(time.Now()) // of the last answer
-		if time.Since(time.Unix(0, r.served.Load())) > servedFor || age > relayAge+servedFor {
-			continue // nobody asks, or this entry has not read the store itself for long
+		if !r.isAsked(time.Now()) || age > relayAge+servedFor {
+			continue // also where this entry has not read the store itself for long
 		}
 		if age < reachEvery {
 			wait = reachEvery - age
 			continue
 		}
-		ctx, cancel := context.WithTimeout(r.ctx, reachTimeout)
-		if r.o.Store.Reach(ctx) == nil {
+		if r.reach() {
 			r.log.refresh(time.Now())
+		} else {
+			wait = reachAgain
 		}
-		cancel()
 	}
 }
+
+// isAsked reports whether a peer has asked for changes lately.
+func (r *Reader) isAsked(now time.Time) bool {
+	return now.Sub(time.Unix(0, r.served.Load())) <= servedFor
+}
+
+func (r *Reader) reach() bool {
+	ctx, cancel := context.WithTimeout(r.ctx, reachTimeout)
+	defer cancel()
+	return r.o.Store.Reach(ctx) == nil
+}
