--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -141,7 +141,7 @@
 	if p.on == nil {
 		e = entry.New(p.conf, log)
 	} else {
-		e = entry.NewOn(p.conf, log, platform.NewClient(p.on), platform.Translator{Regions: p.on.Regions})
+		e = entry.NewOn(p.conf, log, platform.NewClient(p.on), platform.Translator{Deployment: p.on.Deployment})
 	}
 	go e.FollowSettings(ctx, p.path, p.reload, hangups)
 	go e.ReportDropped(ctx, lines.Dropped)
--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -87,10 +87,13 @@
 
 // Retry are the settings of retries and hedges of idempotent requests.
 type Retry struct {
-	MaxAttempts     int     `json:"maxAttempts"`     // default 3; first attempt included
-	BudgetRatio     float64 `json:"budgetRatio"`     // default 0.1; retries and hedges per request
-	MinPerSecond    float64 `json:"minPerSecond"`    // default 1; extra attempts of one instance at low load
-	Burst           int     `json:"burst"`           // default 10; most extra attempts at one moment
+	MaxAttempts  int     `json:"maxAttempts"`  // default 3; first attempt included
+	BudgetRatio  float64 `json:"budgetRatio"`  // default 0.1; retries and hedges per request
+	MinPerSecond float64 `json:"minPerSecond"` // default 1; extra attempts of one instance at low load
+	Burst        int     `json:"burst"`        // default 10; most extra attempts of one instance at one moment
+	// FleetBurst bounds the extra attempts of all instances at one moment; each
+	// holds its part, at least 1 and at most burst. Default 0, which sets no bound.
+	FleetBurst      float64 `json:"fleetBurst"`
 	Hedge           bool    `json:"hedge"`           // default true
 	HedgePercentile float64 `json:"hedgePercentile"` // default 95; of the service's latency
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -92,6 +92,7 @@
 		Recorder:        e.rec,
 		Scope:           e.metrics.Scope,
 		OrdinalConflict: func() bool { return e.table.OrdinalConflict() },
+		Instances:       func() int { return e.table.Size() },
 		Ready:           e.serving,
 		Notify:          func() { e.table.Notify() },
 	})
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -72,7 +72,7 @@
 			Instance: fmt.Sprintf("entry-%d", i), Incarnation: uint64(i + 1), Region: "r", Store: store, Owner: owner,
 			Claimant: ledger.NewClaimant(owner, keyring, fixturePeers{f}, c, address),
 			Log:      audit.New(10000, 100), Recorder: events.Discard{}, Scope: tally.NoopScope,
-			OrdinalConflict: func() bool { return true }, Notify: func() {}, Ready: func() (bool, string) { return !f.unready[i].Load(), "" },
+			OrdinalConflict: func() bool { return true }, Notify: func() {}, Instances: func() int { return 1 }, Ready: func() (bool, string) { return !f.unready[i].Load(), "" },
 			dial: f.dial,
 		})
 		require.Equal(t, settings.Adopted, store.Offer([]byte(fixtureTree), "test"))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -59,6 +59,8 @@
 	// OrdinalConflict reports whether another instance states the same
 	// ordinal; no probes are sent while it does.
 	OrdinalConflict func() bool
+	// Instances returns how many instances are known, this one included.
+	Instances func() int
 	// Ready reports whether the settings may be served, and why not. It also
 	// detects that the process was paused, so it is asked for every request.
 	Ready func() (bool, string)
--- a/pkg/gateway/loop.go
+++ b/pkg/gateway/loop.go
@@ -43,6 +43,7 @@
 		s.budgets.Suspend(suspended)
 		if isSlowRound {
 			s.budgets.Report(s.now(), g.o.Recorder, s.name)
+			s.retries.Instances(g.o.Instances())
 			s.retries.Report(g.o.Recorder, s.name)
 			s.report()
 			s.checkEjected(ctx, probes)
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -25,7 +25,7 @@
 // share that new settings have lowered.
 func TestServiceReportsAndFollowsSettings(t *testing.T) {
 	var log eventLog
-	g := &Gateway{o: Options{Recorder: &log, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, Notify: func() {}}, start: time.Now()}
+	g := &Gateway{o: Options{Recorder: &log, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, Notify: func() {}, Instances: func() int { return 1 }}, start: time.Now()}
 	tree, err := dynamic.Parse([]byte(fixtureTree))
 	require.NoError(t, err)
 	s, err := newService(g, "shop", 1, &tree.Lookup("r", "shop").Service)
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -12,12 +12,18 @@
 // fractions.
 const rounding = 1e-9
 
+// fleetShare is the part of the bound over all instances that they use: an
+// instance that has just started knows of few others.
+const fleetShare = 0.8
+
 // Budget bounds the extra attempts of one service at this instance.
 type Budget struct {
 	mu         sync.Mutex
 	ratio      float64
 	perSecond  float64
 	burst      float64
+	fleet      float64 // extra attempts of all instances at one moment; 0: no bound
+	instances  int     // the most that were seen
 	tokens     float64
 	last       time.Duration
 	refused    uint64
@@ -38,7 +44,7 @@
 func (b *Budget) Configure(settings dynamic.Retry) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.ratio, b.perSecond, b.burst = settings.BudgetRatio, settings.MinPerSecond, float64(settings.Burst)
+	b.ratio, b.perSecond, b.burst, b.fleet = settings.BudgetRatio, settings.MinPerSecond, float64(settings.Burst), settings.FleetBurst
 	b.add(0)
 }
 
@@ -57,7 +63,22 @@
 	return b.tokens
 }
 
-func (b *Budget) capacity() float64 { return max(b.burst, b.perSecond) }
+func (b *Budget) capacity() float64 {
+	burst := b.burst
+	if b.fleet > 0 {
+		burst = min(burst, max(1, fleetShare*b.fleet/float64(max(1, b.instances))))
+	}
+	return max(burst, b.perSecond)
+}
+
+// Instances tells how many instances there are, this one included. The highest
+// number counts: one that is cut off from the others knows of few.
+func (b *Budget) Instances(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.instances = max(b.instances, n)
+	b.add(0)
+}
 
 // Request counts one first attempt.
 func (b *Budget) Request(now time.Duration) {
