Keep reaching for the store after a relay has lost it once

A line for each call and for each failed question to a relay (scratch copies): relays that were cut off until second 13 read the store again, but never again made the call that shows it to be reachable, so that their peers took them for out of touch. The age of an answer that does not exist overflowed, and the loop slept for good. Change: the log tells the age of the last answer, and whether there is one.

--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -429,6 +429,28 @@
 	})
 }
 
+// Guards against a relay that has lost the store once and, when it reads it again,
+// no longer shows its peers that it is in touch. On kbs-gateway-grown this cost
+// 1,200 of 1,500 calls of a day with cut instances.
+func TestRelayThatLostTheStoreComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(20)
+		defer f.close()
+		f.store.put("server/a", "stock 1")
+		time.Sleep(2 * avoidFor)
+		f.store.set(func() { f.store.away = true })
+		f.store.put("server/b", "stock 1")
+		time.Sleep(5 * time.Second)
+		f.store.set(func() { f.store.away = false })
+		time.Sleep(2 * avoidFor)
+		f.store.set(func() { f.store.calls = 0 })
+		const span = 30 * time.Second
+		time.Sleep(span)
+		f.store.set(func() { require.LessOrEqual(t, f.store.calls, Readers*(int(span/(storeWait/2+storeGap))+1)) })
+		require.NoError(t, f.agrees())
+	})
+}
+
 // Guards against a lost packet between a relay and the store that turns all its
 // peers to the store. On kbs-gateway-grown this cost 80 of 310 calls of a quiet day.
 func TestLostReachCostsNoCalls(t *testing.T) {
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -130,6 +130,14 @@
 	return l.revision
 }
 
+// age returns how old the last answer of the store is; false: the log does not
+// follow the store.
+func (l *relayLog) age(now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.contact), l.follows
+}
+
 // remaining returns how much longer the log may be handed out.
 func (l *relayLog) remaining(now time.Time) time.Duration {
 	l.mu.Lock()
@@ -168,9 +176,9 @@
 func (r *Reader) keepReach() {
 	for wait := reachEvery; sleep(r.ctx, wait); {
 		wait = reachEvery
-		age := relayAge - r.log.remaining(time.Now()) // of the last answer
-		if !r.isAsked(time.Now()) || age > relayAge+servedFor {
-			continue // also where this entry has not read the store itself for long
+		age, follows := r.log.age(time.Now())
+		if !follows || !r.isAsked(time.Now()) {
+			continue
 		}
 		if age < reachEvery {
 			wait = reachEvery - age
