Spread work before backend servers are nearly full

Its backend servers slow down when more than four fifths of their slots are taken, which the report does not state; the policy preferred one with five requests to an emptier one with a slightly higher slowdown, and to asking others. Change: a request in each slot adds 0.6 (0.15) to the cost. Tests: TestChoose, the emptier one of two (fails on the former code).

--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -39,8 +39,9 @@
 	// defaultSlots is assumed where a report does not state the slots.
 	defaultSlots = 6
 	// busyShare is what one request in each slot adds to the cost, so that work
-	// spreads before backend servers are full.
-	busyShare = 0.15
+	// spreads before backend servers are full: some slow down when they are nearly
+	// full, which no report states.
+	busyShare = 0.6
 	// coldFactor is the slowdown assumed while a backend server is cold.
 	coldFactor = 2
 	// muteCost keeps backend servers that do not reply behind all others.
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -56,6 +56,7 @@
 		want      int
 	}{
 		{"the one at its usual speed", 3, 0, func(w *world) { w.report(0, 7, 0, 0); w.report(1, 1, 3, 0); w.report(2, 7, 0, 0) }, 1},
+		{"the emptier one of two at their usual speed", 2, 0, func(w *world) { w.report(0, 1, 5, 0); w.report(1, 1.3, 1, 0) }, 1},
 		{"the one with a free slot", 2, 0, func(w *world) { w.report(0, 1, 6, 5); w.report(1, 1, 5, 0) }, 1},
 		{"a known one before an unknown one", 2, 0, func(w *world) { w.report(0, 7, 2, 0) }, 0},
 		{"the own failure domain where it is good enough", 1, 1, func(w *world) { w.report(0, 1.3, 2, 0); w.report(1, 1, 0, 0) }, 0},
