Choose from 8 near and 4 far backend servers

Ruled out: longer idle times (backend servers close after 10 s). Change: nearSubset 8 (12), farSubset 4 (6).

--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -70,8 +70,8 @@
 	roomSlowdown = 2
 	// nearSubset and farSubset are the numbers of backend servers in the own and
 	// in other failure domains that an instance chooses from.
-	nearSubset = 12
-	farSubset  = 6
+	nearSubset = 8
+	farSubset  = 4
 )
 
 // Options are the settings of the policy.
