--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"syscall"
@@ -118,6 +119,7 @@
 	log.SetFormatter(&logrus.JSONFormatter{})
 	log.SetOutput(lines)
 
+	debug.SetGCPercent(p.conf.Limits.GCPercent)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -139,7 +141,7 @@
 	if p.on == nil {
 		e = entry.New(p.conf, log)
 	} else {
-		e = entry.NewOn(p.conf, log, platform.NewClient(p.on), platform.Translator{Regions: p.on.Regions})
+		e = entry.NewOn(p.conf, log, platform.NewClient(p.on), platform.Translator{Deployment: p.on.Deployment})
 	}
 	go e.FollowSettings(ctx, p.path, p.reload, hangups)
 	go e.ReportDropped(ctx, lines.Dropped)
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -39,8 +39,9 @@
 	// defaultSlots is assumed where a report does not state the slots.
 	defaultSlots = 6
 	// busyShare is what one request in each slot adds to the cost, so that work
-	// spreads before backend servers are full.
-	busyShare = 0.15
+	// spreads before backend servers are full: some slow down when they are nearly
+	// full, which no report states.
+	busyShare = 0.6
 	// coldFactor is the slowdown assumed while a backend server is cold.
 	coldFactor = 2
 	// muteCost keeps backend servers that do not reply behind all others.
@@ -61,10 +62,16 @@
 	jitter = 0.5
 	// tieBreak does the same for the choice among those whose load is known.
 	tieBreak = 0.05
+	// roomShare is the share of the slots up to which a backend server takes a
+	// request that is sent twice: some slow down when they are nearly full, and in
+	// an overload each hedge makes another request late. roomSlowdown is the
+	// slowdown above which the second request would not overtake the first.
+	roomShare    = 0.8
+	roomSlowdown = 2
 	// nearSubset and farSubset are the numbers of backend servers in the own and
 	// in other failure domains that an instance chooses from.
-	nearSubset = 12
-	farSubset  = 6
+	nearSubset = 8
+	farSubset  = 4
 )
 
 // Options are the settings of the policy.
@@ -142,6 +149,24 @@
 	return out
 }
 
+// HasRoom implements server.RoomJudge: the backend server has stated its load
+// recently, is not slow, and is not nearly full.
+func (p *Policy) HasRoom(now time.Duration, s *server.Server) bool {
+	report, age, known := s.Reported(now)
+	if !known || age > ageTime || s.IsMute(now) || report.Slowdown > roomSlowdown {
+		return false
+	}
+	return float64(report.Load()+s.BegunSinceReport()+1) <= roomShare*slotsOf(report)
+}
+
+// slotsOf returns the requests that a backend server runs at once.
+func slotsOf(report server.Report) float64 {
+	if report.Slots > 0 {
+		return float64(report.Slots)
+	}
+	return defaultSlots
+}
+
 // fill takes the usable backend servers of lowest affinity.
 func (set *subset) fill(l *server.List, exclude []*server.Server) {
 	set.take(l, 0, l.Local(), nearSubset, exclude)
@@ -161,11 +186,14 @@
 	}
 }
 
-// lowest returns the lowest cost.
+// lowest returns the lowest cost of those whose load is known. One that is not
+// known would not be chosen, so it promises nothing.
 func (p *Policy) lowest(now time.Duration, servers []*server.Server) float64 {
 	out := math.Inf(1)
 	for _, s := range servers {
-		out = min(out, p.cost(now, s))
+		if _, _, known := s.Reported(now); known {
+			out = min(out, p.cost(now, s))
+		}
 	}
 	return out
 }
@@ -177,10 +205,7 @@
 	if known {
 		trust = math.Exp(-float64(age) / float64(ageTime))
 	}
-	slots := float64(defaultSlots)
-	if report.Slots > 0 {
-		slots = float64(report.Slots)
-	}
+	slots := slotsOf(report)
 	load := trust*float64(report.Load()) + (1-trust)*p.shared.MeanLoad() + float64(s.BegunSinceReport())
 	cost := p.slowdown(now, s, report, known, trust)
 	cost *= 1 + max(0, load+1-slots)/slots + busyShare*load/slots
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -56,6 +56,7 @@
 		want      int
 	}{
 		{"the one at its usual speed", 3, 0, func(w *world) { w.report(0, 7, 0, 0); w.report(1, 1, 3, 0); w.report(2, 7, 0, 0) }, 1},
+		{"the emptier one of two at their usual speed", 2, 0, func(w *world) { w.report(0, 1, 5, 0); w.report(1, 1.3, 1, 0) }, 1},
 		{"the one with a free slot", 2, 0, func(w *world) { w.report(0, 1, 6, 5); w.report(1, 1, 5, 0) }, 1},
 		{"a known one before an unknown one", 2, 0, func(w *world) { w.report(0, 7, 2, 0) }, 0},
 		{"the own failure domain where it is good enough", 1, 1, func(w *world) { w.report(0, 1.3, 2, 0); w.report(1, 1, 0, 0) }, 0},
@@ -79,6 +80,38 @@
 	}
 }
 
+// Guards against hedges that make an overload worse, or that wait longer than the
+// request that they are to overtake.
+func TestHasRoom(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		know func(w *world)
+		want bool
+	}{
+		{"nothing known", func(*world) {}, false},
+		{"idle", func(w *world) { w.report(0, 1, 0, 0) }, true},
+		{"one more below four fifths of the slots", func(w *world) { w.report(0, 1, 3, 0) }, true},
+		{"nearly full", func(w *world) { w.report(0, 1, 4, 0) }, false},
+		{"requests wait", func(w *world) { w.report(0, 1, 6, 2) }, false},
+		{"slow", func(w *world) { w.report(0, 7, 0, 0) }, false},
+		{"own attempts since the report", func(w *world) {
+			w.report(0, 1, 2, 0)
+			w.servers[0].Begin()
+			w.servers[0].Begin()
+		}, false},
+		{"mute", func(w *world) { w.report(0, 1, 0, 0); w.servers[0].Ask(); w.servers[0].Replied(now, false) }, false},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			w := newWorld(1, 0)
+			tt.know(w)
+			require.Equal(t, tt.want, w.policy.HasRoom(now, w.servers[0]))
+		})
+	}
+	w := newWorld(1, 0)
+	w.report(0, 1, 0, 0)
+	require.False(t, w.policy.HasRoom(now+time.Second, w.servers[0]), "the report is old")
+}
+
 // Guards against questions without end, about what is known, and to other failure
 // domains without need.
 func TestAsk(t *testing.T) {
@@ -90,7 +123,11 @@
 		w.report(index(w, s), 7, 0, 0)
 	}
 	again := w.ask(server.Again)
-	require.Empty(t, again, "the others are unknown, which promises enough")
+	require.Len(t, again, 3, "all that replied are slow, and one without a reply is not chosen")
+	for _, s := range again {
+		require.True(t, s.Local())
+		require.NotContains(t, first, s)
+	}
 	for i := range 9 {
 		w.report(i, 7, 0, 0)
 	}
