--- a/pkg/config/schema/schema.go
+++ b/pkg/config/schema/schema.go
@@ -57,10 +57,12 @@
 		panic(errors.Wrap(err, name))
 	}
 	c := jsonschema.NewCompiler()
-	if err := c.AddResource(name, doc); err != nil {
+	// An absolute address keeps the compiler from looking for the working directory.
+	address := "schema:///" + name
+	if err := c.AddResource(address, doc); err != nil {
 		panic(errors.Wrap(err, name))
 	}
-	s := &Schema{compiled: c.MustCompile(name), secret: map[string]bool{}}
+	s := &Schema{compiled: c.MustCompile(address), secret: map[string]bool{}}
 	for _, m := range secret {
 		s.secret[m] = true
 	}
