Let an instance of a large fleet hedge

Cause: hedges must leave half of the bucket for retries. Change: the reserve is half of what the bucket holds beyond one attempt. Tests: TestHedgesOfLargeFleets (fails for 107 on the former code); TestHedgesLeaveHalfForRetries unchanged.

--- a/pkg/retry/reserve.go
+++ b/pkg/retry/reserve.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// hedgeReserve is the share of the bucket that hedges leave for retries. A retry
+// hedgeReserve is the share of the bucket beyond one attempt that hedges leave for
+// retries. A retry
 // saves a request, a hedge only makes one faster. In the bench, hedges used up
 // the budget while a request crashed backend servers, and requests failed that
 // were saved without hedges.
@@ -13,7 +14,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	if b.tokens < 1+hedgeReserve*b.capacity() {
+	if b.tokens < 1+hedgeReserve*(b.capacity()-1)-rounding {
 		return false
 	}
 	b.tokens--
--- a/pkg/retry/reserve_test.go
+++ b/pkg/retry/reserve_test.go
@@ -26,6 +26,19 @@
 	require.Equal(t, burst/2, retries)
 }
 
+// Guards against a reserve that forbids every hedge where the bucket of an instance
+// of a large fleet holds little more than one attempt.
+func TestHedgesOfLargeFleets(t *testing.T) {
+	for _, instances := range []int{19, 107, 1000} {
+		b := retry.NewBudget(dynamic.Retry{BudgetRatio: 0.2, Burst: 3, FleetBurst: 170})
+		b.Instances(instances)
+		for range 100 {
+			b.Request(0)
+		}
+		require.True(t, b.TakeHedge(0), "%d instances", instances)
+	}
+}
+
 // Guards against a fleet whose instances together hold more extra attempts than the
 // bound over all of them, and against one so large that none may retry at all.
 func TestFleetBurst(t *testing.T) {
