--- a/pkg/feed/events.go
+++ b/pkg/feed/events.go
@@ -13,5 +13,7 @@
 	eventHistoryLost         = events.New(2112, logrus.InfoLevel, "store_history_lost", "the store has dropped the changes since the last read; the full state is read again")
 	eventRegistrationRefused = events.New(2113, logrus.WarnLevel, "registration_refused", "a registration does not describe a backend server and is ignored")
 	eventTreeRefused         = events.NewChange(2114, logrus.ErrorLevel, "store_config_refused", "a settings tree in the store cannot be decoded; the settings in force are kept")
+	eventLargeUpdate         = events.New(2116, logrus.InfoLevel, "large_update", "a reply with large values was received from the platform's store or a relay; meanwhile the changes of other keys were delayed")
+	eventRegistrationsHeld   = events.New(2117, logrus.InfoLevel, "registrations_held", "most registrations of a service vanished while calls to the store failed; the backend servers stay listed for some time")
 	eventRelayAvoided        = events.New(2115, logrus.InfoLevel, "relay_avoided", "a peer that reads the store for others failed to answer and is not used for some time")
 )
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -152,7 +152,8 @@
 // applyNextChanges waits for changes after a revision, applies them and returns
 // the revision to continue from.
 func (r *Reader) applyNextChanges(revision uint64) (uint64, error) {
-	changes, next, err := r.next(revision)
+	start := time.Now()
+	source, changes, next, err := r.next(revision)
 	if err != nil {
 		return 0, err
 	}
@@ -166,9 +167,21 @@
 	if dirty {
 		r.publishInstances(now)
 	}
+	if size := valueBytes(changes); size >= largeUpdateBytes {
+		r.options.Recorder.Record(eventLargeUpdate, events.F("source", source), events.F("changes", len(changes)), events.F("bytes", size),
+			events.F("read_ms", now.Sub(start).Milliseconds()), events.F("apply_ms", time.Since(now).Milliseconds()))
+	}
 	return next, nil
 }
 
+// valueBytes returns the total size of the values of changes.
+func valueBytes(changes []Change) (n int) {
+	for _, c := range changes {
+		n += len(c.Value)
+	}
+	return n
+}
+
 // recordStoreAnswer records the time of an answer of the store.
 func (r *Reader) recordStoreAnswer() {
 	now := time.Now()
@@ -177,36 +190,36 @@
 }
 
 // next polls a relay for changes after a revision or, if there is none or it
-// fails, the store.
-func (r *Reader) next(revision uint64) ([]Change, uint64, error) {
+// fails, the store. source is the address of the relay, or sourceStore.
+func (r *Reader) next(revision uint64) (source string, changes []Change, next uint64, err error) {
 	address, ok := r.chooseRelay(time.Now())
 	if !ok {
 		if !sleep(r.ctx, storePollGap) {
-			return nil, 0, r.ctx.Err()
+			return "", nil, 0, r.ctx.Err()
 		}
 		// A relay may have been discovered meanwhile, mostly after the start.
 		address, ok = r.chooseRelay(time.Now())
 	}
 	if ok {
-		changes, next, err := r.changesFromRelay(address, revision, relayPollWait)
+		changes, next, err = r.changesFromRelay(address, revision, relayPollWait)
 		if err == nil {
 			delete(r.relayBackoff, address)
 			r.lastUpdate.Store(time.Now().UnixNano())
-			return changes, max(revision, next), nil
+			return address, changes, max(revision, next), nil
 		}
 		if errors.Is(err, ErrHistoryLost) {
-			return nil, 0, err
+			return "", nil, 0, err
 		}
 		// The store is polled without the pause, because the relay may have
 		// withheld changes.
 	}
 	wait := storePollWait/2 + rand.N(storePollWait/2)
-	changes, next, err := r.options.Store.Changes(r.ctx, revision, r.backends.limitWait(time.Now(), wait))
+	changes, next, err = r.options.Store.Changes(r.ctx, revision, r.backends.limitWait(time.Now(), wait))
 	if r.recordStoreResult(err) != nil {
-		return nil, 0, err
+		return "", nil, 0, err
 	}
 	r.recordStoreAnswer()
-	return changes, max(revision, next), nil
+	return sourceStore, changes, max(revision, next), nil
 }
 
 // chooseRelay chooses a relay at random; false means that this entry reads the
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -58,11 +58,18 @@
 	pingInterval   = 450 * time.Millisecond
 	pingTimeout    = 300 * time.Millisecond
 	pingRetryDelay = 10 * time.Millisecond
+	// largeUpdateBytes is the size of the values of one reply from which on it is
+	// recorded as an event. A link of 10 Mbit/s carries it in about 50 ms.
+	largeUpdateBytes = 64 << 10
 	// peerRequestWindow is how long after the last request of a peer an entry
 	// keeps reading the store on behalf of its peers.
 	peerRequestWindow = 5 * time.Second
 )
 
+// sourceStore names the store as the source of changes in events; relays are named
+// by their address.
+const sourceStore = "store"
+
 // Options of a Reader. Store, Translator and Recorder are required.
 type Options struct {
 	Store      Store
--- a/pkg/feed/registrations.go
+++ b/pkg/feed/registrations.go
@@ -110,13 +110,14 @@
 			gone[reg.instance.Service]++
 		}
 	}
-	out := map[string]bool{}
+	out, started := map[string]bool{}, 0
 	for key := range vanished {
 		service := l.known[key].instance.Service
 		until, held := l.heldUntil[key]
 		if !held && storeFailedRecently && minExpiredShare*float64(known[service]) < float64(gone[service]) {
 			until, held = now.Add(expiredHoldTime), true
 			l.heldUntil[key] = until
+			started++
 		}
 		if held && now.Before(until) {
 			out[key] = true
@@ -124,6 +125,9 @@
 		}
 		delete(l.heldUntil, key)
 	}
+	if started > 0 {
+		l.recorder.Record(eventRegistrationsHeld, events.F("backends", started), events.F("hold_ms", expiredHoldTime.Milliseconds()))
+	}
 	return out
 }
 
