--- a/pkg/entry/changes.go
+++ b/pkg/entry/changes.go
@@ -34,7 +34,9 @@
 	}
 	converted := make([]feed.Change, len(resp.Changes))
 	for i, change := range resp.Changes {
-		converted[i] = feed.Change{Key: change.Key, Value: change.Value, Revision: change.Revision, Deleted: change.Deleted}
+		converted[i] = feed.Change{
+			Key: change.Key, Value: change.Value, Revision: change.Revision, Deleted: change.Deleted, TreeVersion: change.TreeVersion,
+		}
 	}
 	return converted, resp.Revision, nil
 }
@@ -55,7 +57,9 @@
 	}
 	resp := &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_OK, Revision: revision}
 	for _, c := range changed {
-		resp.Changes = append(resp.Changes, &peerpb.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted})
+		resp.Changes = append(resp.Changes, &peerpb.Change{
+			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, TreeVersion: c.TreeVersion,
+		})
 	}
 	return resp, nil
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -62,7 +62,7 @@
 		e.feed = feed.NewReader(feed.Options{
 			Store: store, Translator: translator, Recorder: e.recorder, PeerClient: changesClient{e},
 			Relays:     func(skip func(string) bool) ([]string, bool) { return e.memberTable.Readers(feed.Readers, skip) },
-			FirstStart: conf.FirstStart,
+			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
 		})
 		return e.feed
 	})
--- a/pkg/feed/doc.go
+++ b/pkg/feed/doc.go
@@ -12,6 +12,13 @@
 // entries may rank their peers differently while they discover each other; this
 // costs calls and nothing else.
 //
+// Registrations must take effect within a bound that does not depend on the size
+// of the settings tree. A relay therefore announces the version of a large tree
+// instead of sending it to all its peers. The exchange between entries
+// (membership) delivers the tree; if it does not do so in time, the entry reads the
+// tree from the store. The instance list is published before trees are decoded, and
+// of several trees in one reply only the newest is decoded.
+//
 // At the first start of the whole system no entry knows a reader yet, and no
 // caller is waiting. The entries then discover each other first, and all but the
 // readers load everything from their relay. Otherwise an entry starts with a
@@ -29,5 +36,6 @@
 // changes; both are lost on exit and read again at the start.
 //
 // Tests: feed_test.go runs readers and relays against a fake store in virtual
-// time with random faults, and compares the entries with the store at the end.
+// time with random faults, and compares the entries with the store at the end;
+// bandwidth_test.go limits the bandwidth of the entries.
 package feed
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -24,6 +24,9 @@
 	Value    []byte
 	Revision uint64 // store-wide revision of the change
 	Deleted  bool
+	// TreeVersion is the version of a settings tree whose value a relay has left
+	// out; otherwise 0.
+	TreeVersion uint64
 }
 
 // Store is a client of the platform's key-value store.
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -32,6 +32,7 @@
 	missesChanges   bool // calls of Changes return no changes
 	calls           int  // of Snapshot and Changes
 	changesCalls    int  // calls of Changes
+	treeCalls       int  // calls of Tree
 	pings           int  // reachability checks
 	unansweredPings int  // number of further pings that get no answer
 }
@@ -130,6 +131,7 @@
 func (s *fakeStore) Tree(context.Context) (uint64, []byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.treeCalls++
 	return uint64(len(s.state["tree"].Value)), s.state["tree"].Value, nil
 }
 
@@ -140,14 +142,19 @@
 	mu           sync.Mutex
 	frozen       map[int]bool // entries that do not answer peers
 	disconnected map[int]bool // entries that are disconnected from the store
+	links        []links      // of the entries
 	cancel       context.CancelFunc
 	watchers     sync.WaitGroup
 	lists        []map[string]bool // names in the latest instance list, by entry
 	trees        []uint64          // version of the latest settings tree, by entry
 }
 
-// fleetPeers implements PeerClient. An address is the number of an entry.
-type fleetPeers struct{ f *fleet }
+// fleetPeers implements PeerClient. An address is the number of an entry. down is
+// the link of the calling entry.
+type fleetPeers struct {
+	f    *fleet
+	down *link
+}
 
 func (p fleetPeers) Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]Change, uint64, error) {
 	var i int
@@ -159,7 +166,14 @@
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	return p.f.readers[i].Serve(ctx, after, wait)
+	changes, revision, err := p.f.readers[i].Serve(ctx, after, wait)
+	if err == nil {
+		err = p.f.links[i].up.transfer(ctx, valueBytes(changes))
+	}
+	if err == nil {
+		err = p.down.transfer(ctx, valueBytes(changes))
+	}
+	return changes, revision, err
 }
 
 // newFleet starts n entries, of which the first Readers read the store for the
@@ -168,11 +182,25 @@
 
 // newFleetOn starts n entries on a store. relays is Options.Relays of entry own.
 func newFleetOn(store *fakeStore, n int, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
+	return newFleetOf(store, make([]links, n), firstStart, relays)
+}
+
+// newFleetWithLinks starts n entries whose links have the given bandwidth.
+func newFleetWithLinks(store *fakeStore, n int, bytesPerSecond float64) *fleet {
+	all := make([]links, n)
+	for i := range all {
+		all[i] = newLinks(bytesPerSecond)
+	}
+	return newFleetOf(store, all, false, rankByNumber)
+}
+
+func newFleetOf(store *fakeStore, all []links, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
+	n := len(all)
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{store: store, frozen: map[int]bool{}, disconnected: map[int]bool{}, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
+	f := &fleet{store: store, frozen: map[int]bool{}, disconnected: map[int]bool{}, links: all, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
 	for i := range n {
 		f.readers = append(f.readers, NewReader(Options{
-			Store: disconnectableStore{f.store, func() bool { return f.isDisconnected(i) }}, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f},
+			Store: disconnectableStore{f.store, func() bool { return f.isDisconnected(i) }, all[i].down}, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f, all[i].down},
 			Relays:     func(skip func(string) bool) ([]string, bool) { return relays(i, skip) },
 			FirstStart: firstStart,
 		}))
@@ -302,6 +330,7 @@
 type disconnectableStore struct {
 	*fakeStore
 	isDisconnected func() bool
+	down           *link
 }
 
 func (s disconnectableStore) hang(ctx context.Context) error {
@@ -321,9 +350,20 @@
 	if s.isDisconnected() {
 		return nil, 0, s.hang(ctx)
 	}
+	if err == nil {
+		err = s.down.transfer(ctx, valueBytes(changes))
+	}
 	return changes, next, err
 }
 
+func (s disconnectableStore) Tree(ctx context.Context) (uint64, []byte, error) {
+	version, text, err := s.fakeStore.Tree(ctx)
+	if err == nil {
+		err = s.down.transfer(ctx, len(text))
+	}
+	return version, text, err
+}
+
 // Guards against entries that keep polling relays which are cut off from the store
 // and have not noticed it yet. In a randomized test run (scale-2 of kbs-gateway,
 // seed 763735486187) requests were sent to a backend server 2016 ms after it had
@@ -538,7 +578,7 @@
 		time.Sleep(5 * time.Second)
 		f.store.locked(func() { f.store.unavailable = true })
 		lateReader := NewReader(Options{
-			Store: f.store, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f},
+			Store: f.store, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f: f},
 			Relays: func(skip func(string) bool) ([]string, bool) { return rankByNumber(2, skip) },
 		})
 		defer lateReader.Close()
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -141,12 +141,12 @@
 			newest[c.Key] = c
 		}
 	}
-	r.log.replace(newest, revision, lastContact)
 	r.backends.replace(newest, now, r.storeFailedRecently(now))
-	for _, c := range newest {
-		r.applyTree(c)
-	}
 	r.publishInstances(now)
+	for key, c := range newest {
+		newest[key] = r.applyTree(c)
+	}
+	r.log.replace(newest, revision, lastContact)
 }
 
 // applyNextChanges waits for changes after a revision, applies them and returns
@@ -160,13 +160,11 @@
 	now := time.Now()
 	dirty := r.backends.dropEndedHolds(now)
 	dirty = r.backends.apply(changes, now, r.storeFailedRecently(now)) || dirty
-	for _, c := range changes {
-		r.applyTree(c)
-	}
-	r.log.add(changes, next)
+	// The instance list comes before the trees, whose decoding takes longer.
 	if dirty {
 		r.publishInstances(now)
 	}
+	r.log.add(r.applyTrees(changes), next)
 	if size := valueBytes(changes); size >= largeUpdateBytes {
 		r.options.Recorder.Record(eventLargeUpdate, events.F("source", source), events.F("changes", len(changes)), events.F("bytes", size),
 			events.F("read_ms", now.Sub(start).Milliseconds()), events.F("apply_ms", time.Since(now).Milliseconds()))
@@ -193,7 +191,7 @@
 // fails, the store. source is the address of the relay, or sourceStore.
 func (r *Reader) next(revision uint64) (source string, changes []Change, next uint64, err error) {
 	address, ok := r.chooseRelay(time.Now())
-	if !ok {
+	if !ok && !r.lastReplyLarge {
 		if !sleep(r.ctx, storePollGap) {
 			return "", nil, 0, r.ctx.Err()
 		}
@@ -219,6 +217,7 @@
 		return "", nil, 0, err
 	}
 	r.recordStoreAnswer()
+	r.lastReplyLarge = valueBytes(changes) > maxRelayedTreeBytes
 	return sourceStore, changes, max(revision, next), nil
 }
 
@@ -260,22 +259,6 @@
 	r.relayBackoff[address] = relayBackoff{until: time.Now().Add(delay), delay: delay}
 }
 
-// applyTree decodes a settings tree and publishes it if its version is above the
-// current one, so that a change that is read twice has no effect.
-func (r *Reader) applyTree(c Change) {
-	if r.options.Translator.Kind(c.Key) != Tree || c.Deleted {
-		return
-	}
-	version, text, err := r.options.Translator.Tree(c.Value)
-	if err != nil {
-		r.options.Recorder.Record(eventTreeRefused, events.F("revision", c.Revision), events.F("error", err.Error()))
-		return
-	}
-	if version > r.version {
-		r.publish(func() { r.version, r.tree = version, text })
-	}
-}
-
 // publishInstances publishes the current instance list.
 func (r *Reader) publishInstances(now time.Time) {
 	backends := r.backends.instances(now)
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -19,7 +19,9 @@
 	// storePollGap is the pause between two polls of the store, so that a burst
 	// of changes costs one call. In a large fleet something changes all the time:
 	// the pause then determines both a reader's rate of calls and the delay
-	// before a change is known.
+	// before a change is known. There is no pause after a reply with a large
+	// settings tree: the next reply would hold all versions written meanwhile,
+	// and arrive later by the time that each of them occupies the link.
 	storePollGap = 800 * time.Millisecond
 	// relayPollWait is the time that a long poll of a relay waits for a change,
 	// and relayPollMargin the additional time after which the poll has failed. A
@@ -83,6 +85,9 @@
 	// FirstStart states that all entries are starting now, before the first
 	// caller connects.
 	FirstStart bool
+	// TreeInForce returns the version of the settings tree in force, which may
+	// have come from a peer; 0: none. nil: trees do not come from peers.
+	TreeInForce func() uint64
 }
 
 // Reader keeps the settings tree and the instance list of an entry up to date.
@@ -100,13 +105,16 @@
 	relayBackoff    map[string]relayBackoff // failed relays, by address
 	lastFailure     time.Time               // time of the last failed call to the store
 	storeFailing    bool                    // whether calls to the store currently fail
-
-	mu           sync.Mutex
-	changed      chan struct{} // closed and replaced at each publication
-	version      uint64        // of the settings tree
-	tree         []byte
-	listNumber   uint64 // number of instance lists published so far
-	instanceList []platform.Instance
+	lastReplyLarge  bool                    // whether the store's last reply held a large settings tree
+	announced       chan struct{}           // has a buffer of one; receives when announcedTree rises
+
+	mu            sync.Mutex
+	changed       chan struct{} // closed and replaced at each publication
+	version       uint64        // of the settings tree
+	tree          []byte
+	announcedTree uint64 // highest version that a relay has announced without its value
+	listNumber    uint64 // number of instance lists published so far
+	instanceList  []platform.Instance
 }
 
 // relayBackoff is the time for which a failed relay is not used.
@@ -118,7 +126,7 @@
 // NewReader returns a Reader. It starts to read on the first call of WatchTree or
 // WatchInstances.
 func NewReader(options Options) *Reader {
-	r := &Reader{options: options, changed: make(chan struct{}), relayBackoff: map[string]relayBackoff{}}
+	r := &Reader{options: options, changed: make(chan struct{}), relayBackoff: map[string]relayBackoff{}, announced: make(chan struct{}, 1)}
 	r.backends = registrations{translator: options.Translator, recorder: options.Recorder, known: map[string]registration{}, heldUntil: map[string]time.Time{}}
 	r.log.reset(0)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -183,6 +191,7 @@
 	r.startOnce.Do(func() {
 		r.loops.Go(r.run)
 		r.loops.Go(r.pingLoop)
+		r.loops.Go(r.fetchAnnouncedTrees)
 	})
 	for {
 		r.mu.Lock()
