--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -142,6 +142,8 @@
 	mu           sync.Mutex
 	frozen       map[int]bool // entries that do not answer peers
 	disconnected map[int]bool // entries that are disconnected from the store
+	losesReply   map[int]bool // entries to which the next reply with changes is lost
+	polling      map[int]bool // entries with a poll of the store in progress
 	links        []links      // of the entries
 	cancel       context.CancelFunc
 	watchers     sync.WaitGroup
@@ -197,10 +199,10 @@
 func newFleetOf(store *fakeStore, all []links, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
 	n := len(all)
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &fleet{store: store, frozen: map[int]bool{}, disconnected: map[int]bool{}, links: all, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
+	f := &fleet{store: store, frozen: map[int]bool{}, disconnected: map[int]bool{}, losesReply: map[int]bool{}, polling: map[int]bool{}, links: all, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
 	for i := range n {
 		f.readers = append(f.readers, NewReader(Options{
-			Store: disconnectableStore{f.store, func() bool { return f.isDisconnected(i) }, all[i].down}, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f, all[i].down},
+			Store: entryStore{f.store, f, i}, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f, all[i].down},
 			Relays:     func(skip func(string) bool) ([]string, bool) { return relays(i, skip) },
 			FirstStart: firstStart,
 		}))
@@ -275,6 +277,43 @@
 	return f.disconnected[i]
 }
 
+// loseReply makes the store's next reply with changes to an entry get lost.
+func (f *fleet) loseReply(entry int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losesReply[entry] = true
+}
+
+func (f *fleet) setPolling(entry int, isPolling bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polling[entry] = isPolling
+}
+
+func (f *fleet) isPolling(entry int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polling[entry]
+}
+
+// waitForPoll waits until an entry begins a poll of the store.
+func (f *fleet) waitForPoll(entry int) {
+	for _, polling := range []bool{false, true} {
+		for f.isPolling(entry) != polling {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// takeLostReply reports whether a reply to an entry is lost; the next one is not.
+func (f *fleet) takeLostReply(entry int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost := f.losesReply[entry]
+	delete(f.losesReply, entry)
+	return lost
+}
+
 func (f *fleet) setFrozen(i int, isFrozen bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -325,41 +364,52 @@
 	})
 }
 
-// disconnectableStore is one entry's connection to the store; polls and pings hang
-// while the entry is disconnected.
-type disconnectableStore struct {
+// storeReplyMargin is the time after the end of a wait at which a poll of the store
+// has failed, as in package platform.
+const storeReplyMargin = 500 * time.Millisecond
+
+// entryStore is one entry's connection to the store; polls and pings hang while the
+// entry is disconnected.
+type entryStore struct {
 	*fakeStore
-	isDisconnected func() bool
-	down           *link
+	f     *fleet
+	entry int
 }
 
-func (s disconnectableStore) hang(ctx context.Context) error {
+func (s entryStore) hang(ctx context.Context) error {
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-func (s disconnectableStore) Ping(ctx context.Context) error {
-	if s.isDisconnected() {
+func (s entryStore) Ping(ctx context.Context) error {
+	if s.f.isDisconnected(s.entry) {
 		return s.hang(ctx)
 	}
 	return s.fakeStore.Ping(ctx)
 }
 
-func (s disconnectableStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s entryStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.f.setPolling(s.entry, true)
+	defer s.f.setPolling(s.entry, false)
+	pollCtx, cancel := context.WithTimeout(ctx, wait+storeReplyMargin)
+	defer cancel()
 	changes, next, err := s.fakeStore.Changes(ctx, after, wait)
-	if s.isDisconnected() {
+	if s.f.isDisconnected(s.entry) {
 		return nil, 0, s.hang(ctx)
 	}
+	if len(changes) > 0 && s.f.takeLostReply(s.entry) {
+		return nil, 0, s.hang(pollCtx)
+	}
 	if err == nil {
-		err = s.down.transfer(ctx, valueBytes(changes))
+		err = s.f.links[s.entry].down.transfer(ctx, valueBytes(changes))
 	}
 	return changes, next, err
 }
 
-func (s disconnectableStore) Tree(ctx context.Context) (uint64, []byte, error) {
+func (s entryStore) Tree(ctx context.Context) (uint64, []byte, error) {
 	version, text, err := s.fakeStore.Tree(ctx)
 	if err == nil {
-		err = s.down.transfer(ctx, len(text))
+		err = s.f.links[s.entry].down.transfer(ctx, len(text))
 	}
 	return version, text, err
 }
@@ -388,6 +438,25 @@
 	})
 }
 
+// Guards against requests to a backend server that has left, sent because the reply
+// that reports it to the relay is lost: the relay still reaches the store by its
+// pings, and its peers go on polling it.
+func TestLostReplyToRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(6)
+		defer f.close()
+		f.store.put("server/a", "stock 1")
+		f.store.put("server/b", "stock 1")
+		time.Sleep(2 * failedRelayBackoff)
+		require.NoError(t, f.checkConverged())
+		f.waitForPoll(0)
+		f.loseReply(0)
+		f.store.remove("server/a")
+		time.Sleep(propagationLimit)
+		require.Zero(t, f.entriesListing("server/a"))
+	})
+}
+
 // Guards against entries that all read the store, which accounts for every call.
 func TestRelaysReduceStoreCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -11,7 +11,8 @@
 )
 
 // run loads the full state, then follows the changes; after an error it starts
-// over.
+// over. A call that has timed out is not followed by a delay: it has taken long
+// enough, and its reply may have been lost.
 func (r *Reader) run() {
 	if r.options.FirstStart {
 		r.waitForReader()
@@ -26,7 +27,9 @@
 			continue
 		}
 		r.log.invalidate()
-		sleep(r.ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+		if !errors.Is(err, context.DeadlineExceeded) {
+			sleep(r.ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+		}
 	}
 }
 
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -14,8 +14,9 @@
 	// storePollWait is the maximum time that a long poll of the store waits for a
 	// change. Each wait is drawn at random from the upper half, so that entries
 	// do not call simultaneously. A longer wait costs fewer calls, but a lost
-	// answer, or a change that the poll missed, is noticed only at its end.
-	storePollWait = 3500 * time.Millisecond
+	// reply, or a change that the poll missed, is noticed only at its end: until
+	// then a relay has stale state although its pings are answered.
+	storePollWait = 1400 * time.Millisecond
 	// storePollGap is the pause between two polls of the store, so that a burst
 	// of changes costs one call. In a large fleet something changes all the time:
 	// the pause then determines both a reader's rate of calls and the delay
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -19,7 +19,7 @@
 	revision    uint64
 	lastContact time.Time     // last answer of the store to this entry; zero: none, or the log is invalid
 	isFollowing bool          // whether the log contains everything that the store has answered
-	changed     chan struct{} // closed and replaced when the content changes
+	changed     chan struct{} // closed and replaced when the content changes or becomes invalid
 }
 
 // reset empties the log; it then starts at revision.
@@ -66,8 +66,7 @@
 		l.compacted = l.changes[n-1].Revision
 		l.changes = append([]Change(nil), l.changes[n:]...)
 	}
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.wakeWaiters()
 }
 
 // recordAnswer records an answer of the store to a request for changes.
@@ -96,11 +95,18 @@
 }
 
 // invalidate marks the log as not following the store, so that changes are no
-// longer served from it.
+// longer served from it, and ends the waits of peers.
 func (l *changeLog) invalidate() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastContact, l.isFollowing = time.Time{}, false
+	l.wakeWaiters()
+}
+
+// wakeWaiters ends the waits for a change. l.mu must be held.
+func (l *changeLog) wakeWaiters() {
+	close(l.changed)
+	l.changed = make(chan struct{})
 }
 
 // changesAfter returns the changes after a revision, or the state of all keys for
