--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -128,6 +128,14 @@
 	require.Zero(t, f.backends[0].Stats().Requests)
 }
 
+// Guards against refusing a proper request because the name of a field begins like
+// Content-Length.
+func TestFieldNameLikeContentLength(t *testing.T) {
+	f := newFleet(t, 1, fastBackend())
+	reply := f.sendRaw(f.callers(0), "GET /shop/x HTTP/1.1\r\nHost: a\r\nContent-Length-Hint: 3\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n")
+	require.Regexp(t, `^HTTP/1\.1 200`, reply)
+}
+
 // Guards against a request that crashes every backend server it is sent to: it
 // must be quarantined before all of them have crashed.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
--- a/pkg/gateway/framing.go
+++ b/pkg/gateway/framing.go
@@ -53,7 +53,7 @@
 	c.inspected = true
 	if end >= 0 {
 		header := bytes.ToLower(c.header[:end])
-		c.conflict = bytes.Contains(header, []byte("\ncontent-length")) && bytes.Contains(header, []byte("\ntransfer-encoding"))
+		c.conflict = bytes.Contains(header, []byte("\ncontent-length:")) && bytes.Contains(header, []byte("\ntransfer-encoding:"))
 	}
 	c.header = c.header[:0]
 }
