--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -117,7 +117,7 @@
 	slices.SortStableFunc(requestLines, byTime)
 	for _, parsed := range addressLines {
 		for _, a := range requestLines {
-			if slices.ContainsFunc(a.Attempts, func(t audit.Attempt) bool { return strings.HasPrefix(parsed.Address, t.Backend) }) {
+			if slices.ContainsFunc(a.Attempts, func(t audit.Attempt) bool { return isBackendAddress(parsed.Address, t.Backend) }) {
 				backendLines = append(backendLines, parsed)
 				break
 			}
@@ -127,6 +127,13 @@
 	return requestLines, backendLines, nil
 }
 
+// isBackendAddress reports whether the address of a log line is that of a backend
+// server, alone or followed by its identity.
+func isBackendAddress(address, backend string) bool {
+	rest, ok := strings.CutPrefix(address, backend)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
 func parseLine(text []byte) (logLine, bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
