--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -35,6 +35,8 @@
 func (g *Gateway) runPeriodic(ctx context.Context, tick int, probes *sync.WaitGroup) {
 	suspended := g.options.OrdinalConflict()
 	isSlowRound := tick/ticksPerRound%roundsPerIdleVisit == 0
+	// Counting the instances walks the member table: once in a tick is enough.
+	instances := sync.OnceValue(g.options.Instances)
 	for _, s := range g.current.Load().dueServices(tick) {
 		idle := s.isIdle()
 		if idle && !isSlowRound {
@@ -44,7 +46,7 @@
 		s.probeBudgets.Suspend(suspended)
 		if isSlowRound {
 			s.probeBudgets.Report(s.now(), g.options.Recorder, s.name)
-			s.retryBudget.Instances(g.options.Instances())
+			s.retryBudget.Instances(instances())
 			s.retryBudget.Report(g.options.Recorder, s.name)
 			s.updateGauges()
 			s.checkEjected(ctx, probes)
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -54,3 +54,27 @@
 	require.NoError(t, s.configure(&lower))
 	require.EqualValues(t, 2, server.Limit())
 }
+
+// Guards against a cost of control that grows with the product of services and
+// instances.
+func TestInstancesAreCountedOncePerTick(t *testing.T) {
+	counted := 0
+	countInstances := func() int { counted++; return 3 }
+	g := &Gateway{options: Options{Recorder: events.Discard{}, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, NotifyPeers: func() {}, Instances: countInstances}, start: time.Now()}
+	tree, err := dynamic.Parse([]byte(treeText))
+	require.NoError(t, err)
+	services := map[string]*service{}
+	for i := range 5 * ticksPerRound {
+		name := fmt.Sprint(i)
+		services[name], err = newService(g, name, 1, &tree.Lookup("r", "shop").Service)
+		require.NoError(t, err)
+		t.Cleanup(services[name].pool.Close)
+	}
+	g.current.Store(newSnapshot(services, nil, tree))
+	for tick := range ticksPerRound {
+		var probes sync.WaitGroup
+		g.runPeriodic(t.Context(), tick, &probes)
+		probes.Wait()
+	}
+	require.Equal(t, ticksPerRound, counted)
+}
