--- a/pkg/feed/bandwidth_test.go
+++ b/pkg/feed/bandwidth_test.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -17,48 +16,8 @@
 	smallLinkBytesPerSecond = 10e6 / 8
 	// largeTreeBytes is the size of a configuration with 1,400 routes.
 	largeTreeBytes = 250_000
-	// packetBytes is the unit in which transfers share a link.
-	packetBytes = 16 << 10
 )
 
-// link is one direction of an entry's network link; transfers in progress share
-// its bandwidth. A nil link has unlimited bandwidth.
-type link struct {
-	mu             sync.Mutex
-	bytesPerSecond float64
-	freeAt         time.Time
-}
-
-// transfer waits until n bytes have passed the link.
-func (l *link) transfer(ctx context.Context, n int) error {
-	for l != nil && n > 0 {
-		packet := min(n, packetBytes)
-		n -= packet
-		if !sleep(ctx, l.reserve(packet)) {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-// reserve queues n bytes and returns the time until they have passed.
-func (l *link) reserve(n int) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); l.freeAt.Before(now) {
-		l.freeAt = now
-	}
-	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
-	return time.Until(l.freeAt)
-}
-
-// links are both directions of an entry's network link.
-type links struct{ up, down *link }
-
-func newLinks(bytesPerSecond float64) links {
-	return links{&link{bytesPerSecond: bytesPerSecond}, &link{bytesPerSecond: bytesPerSecond}}
-}
-
 // Guards against requests to a backend server that has left, sent because new
 // versions of a large settings tree delay the change of its registration on the
 // links of small instances.
@@ -103,15 +62,3 @@
 		require.NoError(t, f.checkConverged())
 	})
 }
-
-// entriesListing returns the number of entries whose instance list contains key.
-func (f *fleet) entriesListing(key string) (n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, list := range f.lists {
-		if list[key] {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/pkg/feed/fleet_test.go
@@ -0,0 +1,400 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/events"
+)
+
+var errStoreUnavailable = errors.New("store unavailable")
+
+// fakeStore is an in-memory Store with faults, in virtual time.
+type fakeStore struct {
+	mu              sync.Mutex
+	state           map[string]Change
+	history         []Change
+	compacted       uint64
+	revision        uint64
+	changed         chan struct{}
+	unavailable     bool // all calls but those of Tree fail
+	missesChanges   bool // calls of Changes return no changes
+	calls           int  // of Snapshot and Changes
+	changesCalls    int  // calls of Changes
+	treeCalls       int  // calls of Tree
+	pings           int  // reachability checks
+	unansweredPings int  // number of further pings that get no answer
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{state: map[string]Change{}, revision: 1, changed: make(chan struct{})}
+}
+
+func (s *fakeStore) put(key, value string) { s.change(Change{Key: key, Value: []byte(value)}) }
+
+func (s *fakeStore) remove(key string) { s.change(Change{Key: key, Deleted: true}) }
+
+func (s *fakeStore) change(c Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	c.Revision = s.revision
+	if c.Deleted {
+		delete(s.state, c.Key)
+	} else {
+		s.state[c.Key] = c
+	}
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// locked calls f with s.mu held.
+func (s *fakeStore) locked(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// compact drops the history of changes.
+func (s *fakeStore) compact() { s.locked(func() { s.history, s.compacted = nil, s.revision }) }
+
+func (s *fakeStore) Snapshot(context.Context, bool) ([]Change, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.unavailable {
+		return nil, 0, errStoreUnavailable
+	}
+	return slices.Collect(maps.Values(s.state)), s.revision, nil
+}
+
+func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	s.locked(func() { s.calls++; s.changesCalls++ })
+	for {
+		s.mu.Lock()
+		var out []Change
+		for _, c := range s.history {
+			if c.Revision > after && !s.missesChanges {
+				out = append(out, c)
+			}
+		}
+		unavailable, historyLost, revision, changed := s.unavailable, after < s.compacted && !s.missesChanges, s.revision, s.changed
+		s.mu.Unlock()
+		switch {
+		case unavailable:
+			return nil, 0, errStoreUnavailable
+		case historyLost:
+			return nil, 0, ErrHistoryLost
+		case len(out) > 0:
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeStore) Ping(ctx context.Context) error {
+	s.mu.Lock()
+	s.pings++
+	if s.unansweredPings > 0 {
+		s.unansweredPings--
+		s.mu.Unlock()
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	defer s.mu.Unlock()
+	if s.unavailable {
+		return errStoreUnavailable
+	}
+	return nil
+}
+
+func (s *fakeStore) Tree(context.Context) (uint64, []byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.treeCalls++
+	return uint64(len(s.state["tree"].Value)), s.state["tree"].Value, nil
+}
+
+// fleet holds the readers of several entries of one failure domain.
+type fleet struct {
+	store        *fakeStore
+	readers      []*Reader
+	mu           sync.Mutex
+	frozen       map[int]bool // entries that do not answer peers
+	disconnected map[int]bool // entries that are disconnected from the store
+	losesReply   map[int]bool // entries to which the next reply with changes is lost
+	polling      map[int]bool // entries with a poll of the store in progress
+	links        []links      // of the entries
+	cancel       context.CancelFunc
+	watchers     sync.WaitGroup
+	lists        []map[string]bool // names in the latest instance list, by entry
+	trees        []uint64          // version of the latest settings tree, by entry
+}
+
+// fleetPeers implements PeerClient. An address is the number of an entry. down is
+// the link of the calling entry.
+type fleetPeers struct {
+	f    *fleet
+	down *link
+}
+
+func (p fleetPeers) Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	var i int
+	_, _ = fmt.Sscan(address, &i)
+	p.f.mu.Lock()
+	frozen := p.f.frozen[i]
+	p.f.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	changes, revision, err := p.f.readers[i].Serve(ctx, after, wait)
+	if err == nil {
+		err = p.f.links[i].up.transfer(ctx, valueBytes(changes))
+	}
+	if err == nil {
+		err = p.down.transfer(ctx, valueBytes(changes))
+	}
+	return changes, revision, err
+}
+
+// newFleet starts n entries, of which the first Readers read the store for the
+// others.
+func newFleet(n int) *fleet { return newFleetOn(newFakeStore(), n, false, rankByNumber) }
+
+// newFleetOn starts n entries on a store. relays is Options.Relays of entry own.
+func newFleetOn(store *fakeStore, n int, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
+	return newFleetOf(store, make([]links, n), firstStart, relays)
+}
+
+// newFleetWithLinks starts n entries whose links have the given bandwidth.
+func newFleetWithLinks(store *fakeStore, n int, bytesPerSecond float64) *fleet {
+	all := make([]links, n)
+	for i := range all {
+		all[i] = newLinks(bytesPerSecond)
+	}
+	return newFleetOf(store, all, false, rankByNumber)
+}
+
+func newFleetOf(store *fakeStore, all []links, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
+	n := len(all)
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{store: store, frozen: map[int]bool{}, disconnected: map[int]bool{}, losesReply: map[int]bool{}, polling: map[int]bool{}, links: all, cancel: cancel, lists: make([]map[string]bool, n), trees: make([]uint64, n)}
+	for i := range n {
+		f.readers = append(f.readers, NewReader(Options{
+			Store: entryStore{f.store, f, i}, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f, all[i].down},
+			Relays:     func(skip func(string) bool) ([]string, bool) { return relays(i, skip) },
+			FirstStart: firstStart,
+		}))
+	}
+	for i, r := range f.readers {
+		f.watchers.Go(func() { f.watchList(ctx, i, r) })
+		f.watchers.Go(func() { f.watchTree(ctx, i, r) })
+	}
+	return f
+}
+
+// rankByNumber implements Options.Relays for entry own: entries rank by their
+// number.
+func rankByNumber(own int, skip func(string) bool) (addresses []string, isReader bool) {
+	rankedBefore := 0
+	for i := range own {
+		if a := fmt.Sprint(i); !skip(a) {
+			rankedBefore++
+			addresses = append(addresses, a)
+		}
+	}
+	return addresses[:min(len(addresses), Readers)], rankedBefore < Readers
+}
+
+func (f *fleet) watchList(ctx context.Context, i int, r *Reader) {
+	for after := uint64(0); ; {
+		number, list, err := r.WatchInstances(ctx, after)
+		if err != nil {
+			return
+		}
+		names := map[string]bool{}
+		for _, instance := range list {
+			names[instance.Name] = true
+		}
+		f.mu.Lock()
+		f.lists[i], after = names, number
+		f.mu.Unlock()
+	}
+}
+
+func (f *fleet) watchTree(ctx context.Context, i int, r *Reader) {
+	for after := uint64(0); ; {
+		version, _, err := r.WatchTree(ctx, after)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.trees[i], after = version, version
+		f.mu.Unlock()
+	}
+}
+
+func (f *fleet) close() {
+	f.cancel()
+	for _, r := range f.readers {
+		r.Close()
+	}
+	f.watchers.Wait()
+}
+
+func (f *fleet) disconnect(entries ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range entries {
+		f.disconnected[i] = true
+	}
+}
+
+func (f *fleet) isDisconnected(i int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.disconnected[i]
+}
+
+// loseReply makes the store's next reply with changes to an entry get lost.
+func (f *fleet) loseReply(entry int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.losesReply[entry] = true
+}
+
+func (f *fleet) setPolling(entry int, isPolling bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.polling[entry] = isPolling
+}
+
+func (f *fleet) isPolling(entry int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.polling[entry]
+}
+
+// waitForPoll waits until an entry begins a poll of the store.
+func (f *fleet) waitForPoll(entry int) {
+	for _, polling := range []bool{false, true} {
+		for f.isPolling(entry) != polling {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// takeLostReply reports whether a reply to an entry is lost; the next one is not.
+func (f *fleet) takeLostReply(entry int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost := f.losesReply[entry]
+	delete(f.losesReply, entry)
+	return lost
+}
+
+func (f *fleet) setFrozen(i int, isFrozen bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[i] = isFrozen
+}
+
+// checkConverged returns an error unless every entry has the settings tree and the
+// backend servers that the store holds.
+func (f *fleet) checkConverged() error {
+	want := map[string]bool{}
+	for key := range f.store.state {
+		if (textStub{}).Kind(key) == Registration {
+			want[key] = true
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.readers {
+		if !maps.Equal(want, f.lists[i]) {
+			return errors.Errorf("entry %d lists %v, the store has %v", i, f.lists[i], want)
+		}
+		if tree := uint64(len(f.store.state["tree"].Value)); f.trees[i] != tree {
+			return errors.Errorf("entry %d has tree version %d, the store has %d", i, f.trees[i], tree)
+		}
+	}
+	return nil
+}
+
+// entriesListing returns the number of entries whose instance list contains key.
+func (f *fleet) entriesListing(key string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, list := range f.lists {
+		if list[key] {
+			n++
+		}
+	}
+	return n
+}
+
+// storeReplyMargin is the time after the end of a wait at which a poll of the store
+// has failed, as in package platform.
+const storeReplyMargin = 500 * time.Millisecond
+
+// entryStore is one entry's connection to the store; polls and pings hang while the
+// entry is disconnected.
+type entryStore struct {
+	*fakeStore
+	f     *fleet
+	entry int
+}
+
+func (s entryStore) hang(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (s entryStore) Ping(ctx context.Context) error {
+	if s.f.isDisconnected(s.entry) {
+		return s.hang(ctx)
+	}
+	return s.fakeStore.Ping(ctx)
+}
+
+func (s entryStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	s.f.setPolling(s.entry, true)
+	defer s.f.setPolling(s.entry, false)
+	pollCtx, cancel := context.WithTimeout(ctx, wait+storeReplyMargin)
+	defer cancel()
+	changes, next, err := s.fakeStore.Changes(ctx, after, wait)
+	if s.f.isDisconnected(s.entry) {
+		return nil, 0, s.hang(ctx)
+	}
+	if len(changes) > 0 && s.f.takeLostReply(s.entry) {
+		return nil, 0, s.hang(pollCtx)
+	}
+	if err == nil {
+		err = s.f.links[s.entry].down.transfer(ctx, valueBytes(changes))
+	}
+	return changes, next, err
+}
+
+func (s entryStore) Tree(ctx context.Context) (uint64, []byte, error) {
+	version, text, err := s.fakeStore.Tree(ctx)
+	if err == nil {
+		err = s.f.links[s.entry].down.transfer(ctx, len(text))
+	}
+	return version, text, err
+}
--- /dev/null
+++ b/pkg/feed/relay_client.go
@@ -0,0 +1,49 @@
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/events"
+)
+
+// chooseRelay chooses a relay at random; false means that this entry reads the
+// store itself. An entry with recent requests from peers reads the store whatever
+// its rank, because these peers may not know the entry that ranks before it yet.
+func (r *Reader) chooseRelay(now time.Time) (string, bool) {
+	if r.options.PeerClient == nil || r.options.Relays == nil || r.isServingPeers(now) {
+		return "", false
+	}
+	addresses, isReader := r.options.Relays(func(address string) bool { return now.Before(r.relayBackoff[address].until) })
+	if isReader || len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rand.IntN(len(addresses))], true
+}
+
+// changesFromRelay requests the changes after a revision from a relay. The relay
+// waits up to wait for a change. A relay that fails is not used for some time.
+func (r *Reader) changesFromRelay(address string, revision uint64, wait time.Duration) ([]Change, uint64, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, wait+relayPollMargin)
+	defer cancel()
+	changes, next, err := r.options.PeerClient.Changes(ctx, address, revision, r.backends.limitWait(time.Now(), wait))
+	if err != nil && r.ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
+		r.backOff(address, errors.Is(err, ErrNotReader))
+		r.options.Recorder.Record(eventRelayAvoided, events.F("address", address), events.F("error", err.Error()))
+	}
+	return changes, next, err
+}
+
+// backOff excludes a relay from use for some time. A relay that does not read the
+// store may be about to start doing so: its first backoff is short, and only
+// repeated ones are long.
+func (r *Reader) backOff(address string, isNotReader bool) {
+	delay := failedRelayBackoff
+	if isNotReader {
+		delay = min(failedRelayBackoff, max(notReaderBackoff, notReaderBackoffFactor*r.relayBackoff[address].delay))
+	}
+	r.relayBackoff[address] = relayBackoff{until: time.Now().Add(delay), delay: delay}
+}
