--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -353,8 +353,8 @@
 // has failed, as in package platform.
 const storeReplyMargin = 500 * time.Millisecond
 
-// entryStore is one entry's connection to the store; polls and pings hang while the
-// entry is disconnected.
+// entryStore is one entry's connection to the store; calls but those of Tree hang
+// while the entry is disconnected.
 type entryStore struct {
 	*fakeStore
 	f     *fleet
@@ -366,6 +366,13 @@
 	return ctx.Err()
 }
 
+func (s entryStore) Snapshot(ctx context.Context, stale bool) ([]Change, uint64, error) {
+	if s.f.isDisconnected(s.entry) {
+		return nil, 0, s.hang(ctx)
+	}
+	return s.fakeStore.Snapshot(ctx, stale)
+}
+
 func (s entryStore) Ping(ctx context.Context) error {
 	if s.f.isDisconnected(s.entry) {
 		return s.hang(ctx)
