--- a/pkg/config/dynamic/bench_test.go
+++ b/pkg/config/dynamic/bench_test.go
@@ -57,3 +57,28 @@
 		runtime.KeepAlive(tree)
 	}
 }
+
+// BenchmarkParseRoutes measures the adoption of a tree in which one route changes,
+// by the number of routes.
+func BenchmarkParseRoutes(b *testing.B) {
+	for _, routes := range []int{14, 140, 1400} {
+		var nodes []string
+		for i := range routes {
+			nodes = append(nodes, fmt.Sprintf(`{"name":"route-%d","host":"shop.example","pathPrefix":"/%d/","idempotent":true,"timeoutMs":1500,"maxAttempts":2,"targetLatencyMs":800,"priority":2,"services":[{"service":"stock","weight":1}]}`, i, i))
+		}
+		text := fmt.Appendf(nil, `{"version":1,"regions":{"north":{"services":{"stock":{}}}},"routes":[%s]}`, strings.Join(nodes, ","))
+		tree, err := dynamic.Parse(text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("routes=%d", routes), func(b *testing.B) {
+			changed := bytes.Replace(text, []byte(`"timeoutMs":1500`), []byte(`"timeoutMs":1400`), 1)
+			for b.Loop() {
+				if _, err := dynamic.ParseAfter(tree, changed); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "tree-bytes")
+		})
+	}
+}
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -34,7 +34,8 @@
 	Routes  []Route // routes of callers' requests; empty: the first path segment names the service
 	Callers Callers
 
-	services map[string]map[string]*ResolvedService // by region, then by service
+	services   map[string]map[string]*ResolvedService // by region, then by service
+	routeTexts routeTexts                             // of Routes; nil if they are not known
 }
 
 // ResolvedService holds the effective settings of one service of one region and
@@ -77,25 +78,31 @@
 // values.
 func Parse(text []byte) (*Tree, error) { return ParseAfter(nil, text) }
 
-// ParseAfter is like Parse, but reuses those services of the previous tree whose
-// layers have the same text, because most versions change few services. previous
-// may be nil.
+// ParseAfter is like Parse, but reuses those routes of the previous tree that have
+// the same text, and those services whose layers have the same text, because most
+// versions change few of them. previous may be nil.
 func ParseAfter(previous *Tree, text []byte) (*Tree, error) {
-	if _, err := treeSchema.Check(text); err != nil {
-		return nil, err
+	reduced, unchanged, routes := withoutUnchangedRoutes(previous, text)
+	if _, err := treeSchema.Check(reduced); err != nil {
+		// The paths of the violations are those of the whole text.
+		if _, err := treeSchema.Check(text); err != nil {
+			return nil, err
+		}
+		reduced, unchanged = text, nil
 	}
 	var doc document
-	if err := json.Unmarshal(text, &doc); err != nil {
+	if err := json.Unmarshal(reduced, &doc); err != nil {
 		return nil, errors.Wrap(err, "parse tree")
 	}
 	t := &Tree{
 		Version:  doc.Version,
 		Digest:   sha256.Sum256(text),
 		Text:     text,
-		Routes:   doc.Routes,
+		Routes:   mergeRoutes(previous, unchanged, doc.Routes),
 		Callers:  doc.Callers,
 		services: map[string]map[string]*ResolvedService{},
 	}
+	t.routeTexts = routes
 	fleet := resolution{}.overlay(layer{OriginBuiltIn, defaultsText}).overlay(layer{"fleet", doc.Fleet.Defaults})
 	violations := &schema.Error{}
 	for regionName, region := range doc.Regions {
--- a/pkg/config/dynamic/tree_test.go
+++ b/pkg/config/dynamic/tree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -56,6 +57,35 @@
 	}
 }
 
+// Guards against routes that are lost, moved or not checked because those with an
+// unchanged text are reused, and against errors that name other routes.
+func TestRoutesParseAfterEqualsParse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		route := rapid.Custom(func(t *rapid.T) string {
+			prefix := rapid.IntRange(0, 5).Draw(t, "prefix")
+			service := rapid.SampledFrom([]string{"a", "a", "a", "a", "b", "none"}).Draw(t, "service")
+			member := rapid.SampledFrom([]string{"", "", "", `"timeoutMs":5,`, `"timeoutMs":-5,`, `"unknown":1,`}).Draw(t, "member")
+			return fmt.Sprintf(`{"name":"r%d","host":"h",%s"pathPrefix":"/%d/","services":[{"service":%q,"weight":1}]}`, prefix, member, prefix, service)
+		})
+		var previous *dynamic.Tree
+		for version := range 4 {
+			routes := rapid.SliceOfN(route, 0, 5).Draw(t, "routes")
+			text := fmt.Appendf(nil, `{"version":%d,"regions":{"r":{"services":{"a":{},"b":{}}}},"routes":[%s]}`, version+1, strings.Join(routes, ", "))
+			parsed, err := dynamic.Parse(text)
+			incremental, incrementalErr := dynamic.ParseAfter(previous, text)
+			require.Equal(t, err, incrementalErr)
+			if err != nil {
+				continue
+			}
+			require.Len(t, incremental.Routes, len(routes))
+			for i := range parsed.Routes {
+				require.Equal(t, parsed.Routes[i], incremental.Routes[i])
+			}
+			previous = incremental
+		}
+	})
+}
+
 // Guards against a service that keeps its old settings when only its region or
 // the fleet changes.
 func TestParseAfterEqualsParse(t *testing.T) {
