--- a/pkg/config/dynamic/unchanged.go
+++ b/pkg/config/dynamic/unchanged.go
@@ -57,7 +57,8 @@
 // withoutUnchangedRoutes returns text without those routes that the previous tree
 // holds with the same text, because most versions change few routes and checking
 // them takes most of the time of an adoption. unchanged holds, for each route of
-// text, its index in the previous tree, or -1 if it is part of the result.
+// text, its index in the previous tree, or -1 if it is part of the result. It is
+// nil if text is returned whole. routes holds the texts of all routes of text.
 func withoutUnchangedRoutes(previous *Tree, text []byte) (reduced []byte, unchanged []int, routes routeTexts) {
 	routes, start, end, ok := splitRoutes(text)
 	if !ok || previous == nil || len(previous.routeTexts) != len(previous.Routes) || len(routes) > maxRoutes {
