--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -101,8 +101,9 @@
 		Routes:   mergeRoutes(previous, unchanged, doc.Routes),
 		Callers:  doc.Callers,
 		services: map[string]map[string]*ResolvedService{},
+
+		routeTexts: routes,
 	}
-	t.routeTexts = routes
 	fleet := resolution{}.overlay(layer{OriginBuiltIn, defaultsText}).overlay(layer{"fleet", doc.Fleet.Defaults})
 	violations := &schema.Error{}
 	for regionName, region := range doc.Regions {
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -52,7 +52,7 @@
 	// relayMaxAge is the maximum age of the store's last answer for an entry to
 	// serve as a relay: a relay that is disconnected from the store must not keep
 	// its peers waiting while changes have to be put in force. A long poll gives
-	// no sign of contact for seconds, so a relay in use pings the store with a
+	// no sign of contact while it waits, so a relay in use pings the store with a
 	// cheap call, which takes at most pingTimeout, whenever the last answer is
 	// older than pingInterval. A failed ping is repeated after pingRetryDelay.
 	// relayMaxAge leaves time for three pings, so that one lost packet does not
--- a/pkg/feed/trees.go
+++ b/pkg/feed/trees.go
@@ -122,7 +122,7 @@
 	if err == nil {
 		r.publishTree(version, text)
 	} else if r.ctx.Err() == nil {
-		r.options.Recorder.Record(eventTreeUnread, events.F("error", err.Error()))
+		r.options.Recorder.Record(eventTreeReadFailed, events.F("error", err.Error()))
 	}
 	return err == nil
 }
