--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -107,7 +107,7 @@
 	lastFailure     time.Time               // time of the last failed call to the store
 	storeFailing    bool                    // whether calls to the store currently fail
 	lastReplyLarge  bool                    // whether the store's last reply held a large settings tree
-	announced       chan struct{}           // has a buffer of one; receives when announcedTree rises
+	announced       chan struct{}           // has a buffer of one; receives when a relay announces a tree
 
 	mu            sync.Mutex
 	changed       chan struct{} // closed and replaced at each publication
