Read the rate limits of backend servers and report their changes

Callers get slow responses from backend servers that have named a limit, and neither logs nor metrics show that there was one: nothing reads Server-Limit.

The setting headers.rateLimit names the field. Event 6004 rate_limit_changed says which instance learned of which limit, and whether a response or the reply to a load query named it; the metric backends_rate_limited and the answer of lentilpinctl on a backend server show it too. The field still reaches callers. Nothing decides by it yet.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -147,6 +147,11 @@
 	// Signature names the field that authenticates the backend server as the
 	// source of the response; default empty, which requires no signature.
 	Signature string `json:"signature"`
+	// RateLimit names the field in which a backend server states the requests per
+	// second that it accepts from all entries together, a decimal number; default
+	// Backend-Rate-Limit. A response without the field states that there is no limit.
+	// Empty reads none.
+	RateLimit string `json:"rateLimit"`
 }
 
 // Load report formats.
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -90,7 +90,7 @@
 	})
 	a.latency = time.Since(a.start)
 	if a.resp != nil {
-		c.svc.observeSignals(server, a.resp.Signals)
+		c.svc.observeSignals(server, a.resp.Signals, sourceResponse)
 	}
 	return a
 }
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -74,7 +74,7 @@
 		return 0, transport.Signals{}
 	}
 	_ = resp.Body.Close()
-	s.observeSignals(server, resp.Signals)
+	s.observeSignals(server, resp.Signals, sourceLoadQuery)
 	return resp.Status, resp.Signals
 }
 
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -35,6 +35,7 @@
 	probeBudgets *measure.Budgets
 	prober       *measure.Prober
 
+	recorder        events.Recorder
 	notifyPeers     func()
 	nextHealthCheck time.Duration // used by Gateway.Run only
 	lastAttempt     atomic.Int64  // time of the last attempt
@@ -84,6 +85,7 @@
 		retryBudget:       retry.NewBudget(settings.Retry),
 		hedgeDelay:        retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
+		recorder:          recorder,
 		notifyPeers:       g.options.NotifyPeers,
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
@@ -139,11 +141,22 @@
 	s.updateWeights()
 }
 
-// observeSignals records the load report and the drain signal of a response.
-func (s *service) observeSignals(server *routing.Server, sig transport.Signals) {
+// Sources of signals, as events name them.
+const (
+	sourceResponse  = "response"
+	sourceLoadQuery = "load_query" // also of probes and health checks
+)
+
+// observeSignals records the load report, the rate limit and the drain signal of
+// a response.
+func (s *service) observeSignals(server *routing.Server, sig transport.Signals, source string) {
 	if sig.HasReport {
 		server.RecordReport(s.now(), sig.Report, 0)
 	}
+	if !sig.Misdirected && server.SetRateLimit(sig.RateLimit) {
+		s.recorder.Record(eventRateLimitChanged, events.F("backend", server.Key()), events.F("source", source),
+			events.F("limited", sig.RateLimit.Stated), events.F("per_second", sig.RateLimit.PerSecond))
+	}
 	if sig.Draining {
 		s.outliers.MarkDraining(s.now(), server.Key(), "response")
 		s.updateWeights()
--- a/pkg/routing/explain.go
+++ b/pkg/routing/explain.go
@@ -23,6 +23,7 @@
 	Inflight         int32
 	Limit            int32
 	AtLimit          uint64 // attempts refused because the limit was reached
+	RateLimit        RateLimit
 	Failed           uint64
 	ErrorShare       float64
 	Latency          time.Duration // of this instance's attempts
@@ -58,6 +59,7 @@
 	e.Known, e.Local, e.FailureDomain = true, srv.Local(), srv.FailureDomain()
 	e.Picks, e.Failed, e.AtLimit = srv.Picks(), srv.Failed(), srv.AtLimit()
 	e.Weight, e.Inflight, e.Limit = srv.Weight(), srv.Inflight(), srv.Limit()
+	e.RateLimit = srv.RateLimit()
 	e.ErrorShare, e.Latency = srv.ErrorShare(), srv.Latency()
 	e.Report, e.ReportAge, e.HasReport = srv.Reported(now)
 	e.EstimatedLoad = lentilpin.Load(now, srv, s.stats, s.stats.ReportConfidence())
@@ -91,6 +93,9 @@
 	case e.Weight < 1:
 		add("weight %.2f: slow start", e.Weight)
 	}
+	if e.RateLimit.Stated {
+		add("states a rate limit: %.1f requests per second from all instances together", e.RateLimit.PerSecond)
+	}
 	if e.Inflight >= e.Limit {
 		add("at its limit: %d of %d attempts of this instance in flight", e.Inflight, e.Limit)
 	}
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -79,12 +79,13 @@
 	reportedInflight atomic.Int32
 	reportedQueued   atomic.Int32
 	reportedSlots    atomic.Int32
-	reportedLatency  atomic.Int64  // nanoseconds
-	reportedSlowdown atomic.Uint64 // float64 bits
-	reportAt         atomic.Int64  // time of the report plus one nanosecond; 0: no report
-	begunSinceReport atomic.Int32  // attempts begun since the report
-	downUntil        atomic.Int64  // time until which the backend server counts as unresponsive
-	coldUntil        atomic.Int64  // time until which the backend server counts as cold
+	reportedLatency  atomic.Int64              // nanoseconds
+	reportedSlowdown atomic.Uint64             // float64 bits
+	reportAt         atomic.Int64              // time of the report plus one nanosecond; 0: no report
+	begunSinceReport atomic.Int32              // attempts begun since the report
+	downUntil        atomic.Int64              // time until which the backend server counts as unresponsive
+	coldUntil        atomic.Int64              // time until which the backend server counts as cold
+	rateLimit        atomic.Pointer[RateLimit] // nil: never stated
 	loadQuery        loadQuery
 	probedAt         atomic.Int64 // time of the last probe plus one nanosecond; 0: never probed
 
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -26,6 +26,7 @@
 // Aliases for the types of package server that users of this package need.
 type (
 	Report         = server.Report
+	RateLimit      = server.RateLimit
 	Backend        = server.Backend
 	Outcome        = server.Outcome
 	Server         = server.Server
@@ -306,6 +307,16 @@
 // The slice must not be modified.
 func (s *Set) Servers() []*Server { return s.list.Load().Servers() }
 
+// RateLimited returns the number of backend servers that state a rate limit.
+func (s *Set) RateLimited() (n int) {
+	for _, srv := range s.Servers() {
+		if srv.RateLimit().Stated {
+			n++
+		}
+	}
+	return n
+}
+
 // Settings returns the settings in force.
 func (s *Set) Settings() *dynamic.Service { return s.settings.Load().settings }
 
--- a/pkg/transport/header.go
+++ b/pkg/transport/header.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -39,7 +40,7 @@
 	settings                         *dynamic.Service
 	loadReport, state, shed, timeout string
 	exchange, expectInstance         string
-	instance, signature              string
+	instance, signature, rateLimit   string
 	internalExchange                 bool // the exchange field has its default name, which callers do not use
 }
 
@@ -55,6 +56,7 @@
 		expectInstance:   textproto.CanonicalMIMEHeaderKey(h.ExpectInstance),
 		instance:         textproto.CanonicalMIMEHeaderKey(h.Instance),
 		signature:        textproto.CanonicalMIMEHeaderKey(h.Signature),
+		rateLimit:        textproto.CanonicalMIMEHeaderKey(h.RateLimit),
 		internalExchange: h.Exchange == ExchangeHeader,
 	}
 }
@@ -67,7 +69,8 @@
 const stateDraining = "draining"
 
 // extractSignals reads the signals of a response and removes their fields, which
-// are meant for the entry and not for the caller.
+// are meant for the entry and not for the caller. The rate limit stays: a caller
+// may want to know why it was refused.
 func (n *fieldNames) extractSignals(status int, h http.Header) Signals {
 	var s Signals
 	if v := h[n.loadReport]; len(v) == 1 {
@@ -76,6 +79,7 @@
 	if v := h[n.state]; len(v) > 0 {
 		s.Draining = strings.EqualFold(strings.TrimSpace(v[0]), stateDraining)
 	}
+	s.RateLimit = n.parseRateLimit(h)
 	s.Misdirected = n.expectInstance != "" && status == http.StatusMisdirectedRequest
 	s.Shed = s.Misdirected || n.isShed(status, h[n.shed])
 	delete(h, n.loadReport)
@@ -84,6 +88,20 @@
 	return s
 }
 
+// parseRateLimit returns the rate limit that a response states. A field that is
+// repeated, not a number or negative states none.
+func (n *fieldNames) parseRateLimit(h http.Header) routing.RateLimit {
+	v := h[n.rateLimit]
+	if n.rateLimit == "" || len(v) != 1 {
+		return routing.RateLimit{}
+	}
+	rate, err := strconv.ParseFloat(strings.TrimSpace(v[0]), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return routing.RateLimit{}
+	}
+	return routing.RateLimit{Stated: true, PerSecond: rate}
+}
+
 // isShed reports whether the shed field states that the request did not run.
 func (n *fieldNames) isShed(status int, values []string) bool {
 	if len(values) != 1 {
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -50,6 +50,7 @@
 type Signals struct {
 	Report    routing.Report
 	HasReport bool
+	RateLimit routing.RateLimit
 	Draining  bool // the backend server is draining
 	Shed      bool // the backend server stated that the request did not run
 	// Misdirected is set if the address now belongs to another backend server;
--- a/standin/signed/signed.go
+++ b/standin/signed/signed.go
@@ -27,6 +27,7 @@
 	probes   int
 	override func(w http.ResponseWriter, r *http.Request) bool
 	load     string
+	limit    string // value of Server-Limit; empty: not stated
 }
 
 // New starts a backend server with the instance ID id on a loopback address.
@@ -68,6 +69,13 @@
 	b.load = load
 }
 
+// SetRateLimit sets the value of Server-Limit in all responses; empty: not stated.
+func (b *Backend) SetRateLimit(limit string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
 // Runs returns the requests that have run, in that order.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -86,7 +94,7 @@
 // ServeHTTP implements http.Handler.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	b.mu.Lock()
-	override, load := b.override, b.load
+	override, load, limit := b.override, b.load, b.limit
 	b.mu.Unlock()
 	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != b.ID {
 		w.Header().Set("Instance-Id", b.ID)
@@ -94,6 +102,9 @@
 		return
 	}
 	w.Header().Set("Backend-Load", load)
+	if limit != "" {
+		w.Header().Set("Server-Limit", limit)
+	}
 	if r.URL.Path == "/health" {
 		b.mu.Lock()
 		b.probes++
