Test that rate limits of backend servers hold over all instances

Callers' requests overload backend servers that have named a limit (LIMIT). The test runs gateways in virtual time in front of four backend servers, three of which state a rate limit, and counts arrivals in any 4 s from 3 s after that.

--- /dev/null
+++ b/pkg/gateway/rate_limit_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/standin/pipe"
+)
+
+const (
+	// rateLimitNotice is the time after which a rate limit must hold, and
+	// rateLimitWindow the span over which it is measured.
+	rateLimitNotice = 3 * time.Second
+	rateLimitWindow = 4 * time.Second
+)
+
+// allowedInWindow returns the requests that a backend server with a rate limit
+// accepts within rateLimitWindow: half as many again as the limit states, and 5.
+func allowedInWindow(perSecond float64) int {
+	return int(1.5*perSecond*rateLimitWindow.Seconds()) + 5
+}
+
+// maxInWindow returns the largest number of arrivals within rateLimitWindow after a
+// point in time.
+func maxInWindow(arrivals []time.Time, after time.Time) (most int) {
+	first := 0
+	for i, at := range arrivals {
+		for arrivals[first].Before(after) || at.Sub(arrivals[first]) > rateLimitWindow {
+			if first == i {
+				break
+			}
+			first++
+		}
+		if !at.Before(after) {
+			most = max(most, i-first+1)
+		}
+	}
+	return most
+}
+
+// sendSteadily sends requests through every gateway at a constant interval for
+// some time and waits for all responses. It returns the number of responses by
+// status.
+func (f *fixture) sendSteadily(interval, span time.Duration) map[int]int {
+	statuses := map[int]int{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for g := range f.gateways {
+		wg.Go(func() {
+			time.Sleep(interval * time.Duration(g) / time.Duration(len(f.gateways)))
+			for i := range int(span / interval) {
+				wg.Go(func() {
+					resp := f.send(f.gateways[g], read(fmt.Sprintf("%d-%d", g, i)))
+					mu.Lock()
+					defer mu.Unlock()
+					statuses[resp.Code]++
+				})
+				time.Sleep(interval)
+			}
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+// Guards against a backend server that gets more requests than the rate limit that
+// it states, because every instance observes the limit by itself or not at all.
+func TestRateLimitHoldsForAllInstances(t *testing.T) {
+	for _, tt := range []struct {
+		desc      string
+		instances int
+		perSecond float64
+		interval  time.Duration // between requests at one instance
+	}{
+		{"one instance", 1, 5, 20 * time.Millisecond},
+		{"several instances", 6, 5, 100 * time.Millisecond},
+		{"less than one request in 4 s for each instance", 40, 2, 500 * time.Millisecond},
+		{"less than one request in 4 s for all instances", 6, 0.2, 100 * time.Millisecond},
+		{"no requests at all", 6, 0, 100 * time.Millisecond},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, tt.instances, 4)
+				defer f.close()
+				f.sendSteadily(tt.interval, 4*time.Second)
+				limited := map[string]*pipe.Backend{}
+				for address, b := range f.backends {
+					if address != "127.0.0.1:9000" {
+						limited[address] = b
+						b.SetRateLimit(strconv.FormatFloat(tt.perSecond, 'f', -1, 64))
+					}
+				}
+				named := time.Now()
+				f.sendSteadily(tt.interval, 15*time.Second)
+				for address, b := range limited {
+					require.LessOrEqual(t, maxInWindow(b.Arrivals(), named.Add(rateLimitNotice)), allowedInWindow(tt.perSecond), address)
+				}
+			})
+		})
+	}
+}
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -19,6 +19,8 @@
 	// TokenHeader is the request header field that identifies a request. The
 	// response body repeats its value.
 	TokenHeader = "X-Token"
+	// RateLimitHeader is the response header field that states the rate limit.
+	RateLimitHeader = "Backend-Rate-Limit"
 	// SlowDelay is the delay before a request with the fault Slow runs.
 	SlowDelay = 400 * time.Millisecond
 	// longBodyBytes is added to the response body by the fault LongBody. It is
@@ -55,6 +57,8 @@
 	script   []Fault
 	runs     map[string]int // number of runs by token
 	requests []*http.Request
+	arrivals []time.Time // of requests
+	limit    string      // value of RateLimitHeader; empty: not stated
 	conns    []net.Conn
 	onFault  func()
 }
@@ -85,6 +89,31 @@
 	return append([]*http.Request(nil), b.requests...)
 }
 
+// Arrivals returns the times at which the requests were received completely.
+func (b *Backend) Arrivals() []time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]time.Time(nil), b.arrivals...)
+}
+
+// SetRateLimit sets the rate limit in requests per second that complete responses
+// state; empty: none.
+func (b *Backend) SetRateLimit(limit string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = limit
+}
+
+// rateLimitField returns the header line with the rate limit, if one is stated.
+func (b *Backend) rateLimitField() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit == "" {
+		return ""
+	}
+	return RateLimitHeader + ": " + b.limit + "\r\n"
+}
+
 // Close closes all connections.
 func (b *Backend) Close() {
 	b.mu.Lock()
@@ -158,6 +187,7 @@
 		}
 		b.mu.Lock()
 		b.requests = append(b.requests, req)
+		b.arrivals = append(b.arrivals, time.Now())
 		b.mu.Unlock()
 		if !b.respond(c, f, req.Header.Get(TokenHeader)) {
 			return
@@ -199,7 +229,7 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
 		return false
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%sContent-Length: %d\r\n\r\n%s", b.rateLimitField(), len(body), body)
 	if f == LateBytes {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\nother")
 		return false
