--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lentilpin/pkg/clock"
 	"lentilpin/pkg/events"
 )
 
@@ -28,7 +29,7 @@
 		}
 		r.log.invalidate()
 		if !errors.Is(err, context.DeadlineExceeded) {
-			sleep(r.ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
+			clock.Sleep(r.ctx, minRetryDelay+rand.N(maxRetryDelay-minRetryDelay))
 		}
 	}
 }
@@ -76,7 +77,7 @@
 func (r *Reader) next(revision uint64) (source string, changes []Change, next uint64, err error) {
 	address, ok := r.chooseRelay(time.Now())
 	if !ok && !r.lastReplyLarge {
-		if !sleep(r.ctx, storePollGap) {
+		if !clock.Sleep(r.ctx, storePollGap) {
 			return "", nil, 0, r.ctx.Err()
 		}
 		// A relay may have been discovered meanwhile, mostly after the start.
--- a/pkg/feed/link_test.go
+++ b/pkg/feed/link_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lentilpin/pkg/clock"
 )
 
 // packetBytes is the unit in which transfers share a link.
@@ -22,7 +24,7 @@
 	for l != nil && n > 0 {
 		packet := min(n, packetBytes)
 		n -= packet
-		if !sleep(ctx, l.reserve(packet)) {
+		if !clock.Sleep(ctx, l.reserve(packet)) {
 			return ctx.Err()
 		}
 	}
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"lentilpin/pkg/clock"
 )
 
 // waitForReader waits, at the first start of the whole system, until this entry
@@ -11,11 +13,11 @@
 // everything. Otherwise all entries would read the store, because none knows a
 // reader yet.
 func (r *Reader) waitForReader() {
-	if !sleep(r.ctx, discoveryTime) {
+	if !clock.Sleep(r.ctx, discoveryTime) {
 		return
 	}
 	if _, ok := r.chooseRelay(time.Now()); ok {
-		sleep(r.ctx, readerLoadTime)
+		clock.Sleep(r.ctx, readerLoadTime)
 	}
 }
 
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lentilpin/pkg/clock"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/platform"
 )
@@ -177,7 +178,7 @@
 func (r *Reader) ReadTree(ctx context.Context, after uint64) (uint64, []byte, error) {
 	version, text, err := r.options.Store.Tree(ctx)
 	if err != nil {
-		sleep(ctx, minRetryDelay)
+		clock.Sleep(ctx, minRetryDelay)
 		return 0, nil, err
 	}
 	if version <= after {
@@ -217,15 +218,3 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
-
-// sleep waits for d and returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"lentilpin/pkg/clock"
 )
 
 // maxLoggedChanges is the maximum number of changes that the log keeps.
@@ -190,7 +192,7 @@
 // pingLoop checks regularly, while peers send requests to this entry, whether the
 // store is reachable. It pings only if no answer of the store is recent.
 func (r *Reader) pingLoop() {
-	for wait := pingInterval; sleep(r.ctx, wait); {
+	for wait := pingInterval; clock.Sleep(r.ctx, wait); {
 		wait = pingInterval
 		contactAge, following := r.log.contactAge(time.Now())
 		if !following || !r.isServingPeers(time.Now()) {
--- a/pkg/feed/trees.go
+++ b/pkg/feed/trees.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lentilpin/pkg/clock"
 	"lentilpin/pkg/events"
 )
 
@@ -107,7 +108,7 @@
 			return
 		case <-r.announced:
 		}
-		for sleep(r.ctx, treeSpreadTime/2+rand.N(treeSpreadTime)) && r.isTreeMissing() {
+		for clock.Sleep(r.ctx, treeSpreadTime/2+rand.N(treeSpreadTime)) && r.isTreeMissing() {
 			if r.fetchTree() {
 				break
 			}
