Keep the confidence in load reports a number without latencies

Callers of a service with the policy lentilpin would get 503 for every request once all attempts have a latency of 0 and the same predicted wait: the slope is 0/0, no cost compares as lowest, and no backend server is selected. Found in virtual time, when the stand-in pkg/standin/pipe began to report its load; a real latency is never 0, so that callers have not seen it.

The prior slope is kept while both variances are 0. TestReportConfidenceWithoutLatency fails before ("expected 0.5 with delta 0.5, but was NaN") and passes now.

--- a/pkg/routing/server/report_confidence.go
+++ b/pkg/routing/server/report_confidence.go
@@ -47,7 +47,11 @@
 	c.covariance += gain * ((1-gain)*waitDelta*latencyDelta - c.covariance)
 	// The weight of the prior decreases with the number of samples.
 	prior := math.Pow(priorWaitSpread*c.meanLatency, 2) + c.waitVariance*30/(30+c.samples)
-	slope := (c.covariance + priorSlope*prior) / (c.waitVariance + prior)
+	slope := priorSlope
+	// Both are 0 while all attempts have a latency of 0 and the same predicted wait.
+	if sum := c.waitVariance + prior; sum > 0 {
+		slope = (c.covariance + priorSlope*prior) / sum
+	}
 	c.slope.Store(math.Float64bits(min(1, max(0, slope))))
 	c.hasSlope.Store(true)
 }
--- a/pkg/routing/server/service_stats_test.go
+++ b/pkg/routing/server/service_stats_test.go
@@ -27,3 +27,16 @@
 	}
 	require.InDelta(t, 380*time.Millisecond, stats.MeanLatency(), float64(2*time.Millisecond))
 }
+
+// Guards against a confidence that is not a number after attempts without latency.
+// No cost was then lowest, so that the policy lentilpin selected no backend server.
+func TestReportConfidenceWithoutLatency(t *testing.T) {
+	stats := server.NewServiceStats(time.Second)
+	s := server.New(server.Backend{Address: "a"}, true, stats, 1)
+	for range 3 {
+		require.True(t, s.BeginAttempt())
+		s.RecordPredictedWait(0, 0)
+		s.EndAttempt(0, 0, server.Success)
+		require.InDelta(t, 0.5, stats.ReportConfidence(), 0.5)
+	}
+}
