Keep requests within the rate limits of backend servers over all instances

Cause: nothing decided by the limit. Each instance chose by load, and a backend server that serves little looks idle. The class is a limit on a sum that no instance can see.

Change: each attempt at a rate-limited backend server needs a permit, which one instance, found by rendezvous hashing, issues for all. An instance holds at most one permit for each backend server and reserves the next one ahead; without a permit the backend server is not usable, for first attempts, retries and hedges alike. In doubt about the issuer (start, pause, leaving, no reply, different tables of instances) there are no permits; during a long partition each side has its share.

Its instances now query loads before each decision, as on the platform, and its stand-in tells load queries from requests; one case without load queries was added.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 	"lentilpin/pkg/peer"
 	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/platform"
+	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/settings"
 )
 
@@ -34,6 +35,7 @@
 	memberTable      *membership.Table
 	membershipRunner *membership.Runner
 	ledgerOwner      *ledger.Owner
+	permitIssuer     *ratelimit.Issuer
 	gateway          *gateway.Gateway
 	leaving          atomic.Bool
 
@@ -84,11 +86,14 @@
 		Address: conf.Listen.Peers, Incarnation: e.incarnation, Clock: systemClock,
 		MaxClaims: conf.Limits.MaxClaims, Keyring: keyring, Recorder: e.recorder,
 	})
+	directory := permitDirectory{e}
+	e.permitIssuer = ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: systemClock, Epoch: e.settingsStore.Epoch})
 	e.gateway = gateway.New(gateway.Options{
 		Instance: conf.Instance, Incarnation: e.incarnation, Region: conf.Region,
 		FailureDomain: conf.FailureDomain, Callers: conf.Callers, Ordinal: conf.Ordinal,
 		Store: e.settingsStore, Owner: e.ledgerOwner,
 		Claimant:        ledger.NewClaimant(e.ledgerOwner, keyring, ledgerPeers{e.peerClient, e}, systemClock, conf.Listen.Peers),
+		Permits:         ratelimit.NewPermits(directory, e.permitIssuer, e.peerClient),
 		Log:             e.log,
 		Recorder:        e.recorder,
 		Scope:           e.metrics.Scope,
@@ -141,6 +146,18 @@
 	return e.canServe()
 }
 
+// permitDirectory implements ratelimit.Directory by the member table, which is
+// created later than the gateway.
+type permitDirectory struct{ e *Entry }
+
+// Responsible implements ratelimit.Directory.
+func (d permitDirectory) Responsible(key, failureDomain string) (address string, isSelf bool) {
+	return d.e.memberTable.Responsible(key, failureDomain)
+}
+
+// LiveShare implements ratelimit.Directory.
+func (d permitDirectory) LiveShare() float64 { return d.e.memberTable.LiveShare() }
+
 // ledgerPeers implements ledger.PeerClient.
 type ledgerPeers struct {
 	*peer.Client
--- a/pkg/entry/peerserver.go
+++ b/pkg/entry/peerserver.go
@@ -22,6 +22,13 @@
 	return s.e.memberTable.HandleTree(req), nil
 }
 
+// Permit implements peerpb.DRPCPeerServer. A pause of the process must be detected
+// before the decision, because the member table may be out of date after it.
+func (s peerServer) Permit(_ context.Context, req *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	s.e.membershipRunner.CheckPause()
+	return s.e.permitIssuer.Issue(req), nil
+}
+
 // Claim implements peerpb.DRPCPeerServer. After a pause of the process the owner
 // decides by its own clocks, so the settings need not be confirmed first.
 func (s peerServer) Claim(_ context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
--- a/pkg/gateway/caller_config.go
+++ b/pkg/gateway/caller_config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/textproto"
 	"strconv"
+	"time"
 
 	"lentilpin/pkg/config/dynamic"
 )
@@ -15,12 +16,13 @@
 const millisPerSecond = 1000
 
 // retryAfter returns the value of the Retry-After field in seconds, rounded up
-// unless fractions are enabled.
-func (r *callerConfig) retryAfter() string {
+// unless fractions are enabled: the setting or, if longer, least.
+func (r *callerConfig) retryAfter(least time.Duration) string {
+	ms := max(r.RetryAfterMS, int(least.Milliseconds()))
 	if r.FractionalRetryAfter {
-		return strconv.FormatFloat(float64(r.RetryAfterMS)/millisPerSecond, 'f', 3, 64)
+		return strconv.FormatFloat(float64(ms)/millisPerSecond, 'f', 3, 64)
 	}
-	return strconv.Itoa((r.RetryAfterMS + millisPerSecond - 1) / millisPerSecond)
+	return strconv.Itoa((ms + millisPerSecond - 1) / millisPerSecond)
 }
 
 // callerConfig holds the settings of the interface to callers with defaults
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/transport"
@@ -34,33 +32,6 @@
 	return a.resp.Signals.Shed
 }
 
-// pickServer selects a backend server. While none has capacity, it waits in the
-// queue. The refusal is nil on success.
-func (c *call) pickServer(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
-	if len(c.svc.routingSet.Servers()) == 0 {
-		res := notRunResult(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").withRetryAfter()
-		return nil, &res
-	}
-	c.queryLoads(ctx, exclude)
-	err := c.svc.queue.Admit(ctx, func() bool {
-		server = c.svc.routingSet.Pick(c.g.now(), exclude)
-		return server != nil
-	})
-	if err == nil {
-		return server, nil
-	}
-	var res result
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		res = notRunResult(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed in the queue")
-	case errors.Is(err, context.Canceled):
-		res = result{outcome: audit.OutcomeAborted, run: audit.NotRun, reason: reasonCallerGone}
-	default:
-		res = notRunResult(http.StatusServiceUnavailable, reasonOverloaded, "all backend servers are busy: "+err.Error()).withRetryAfter()
-	}
-	return nil, &res
-}
-
 // sendAttempt makes one attempt at a server that pickServer returned. With
 // timeout 0 only the deadline of the request applies. It returns after the
 // response header has arrived or the attempt has failed. The body is still to
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
@@ -22,6 +23,7 @@
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/platform"
+	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/settings"
 	"lentilpin/standin/pipe"
 )
@@ -48,6 +50,7 @@
 type fixture struct {
 	gateways          []*Gateway
 	owners            []*ledger.Owner
+	issuers           []*ratelimit.Issuer
 	backends          map[string]*pipe.Backend
 	unreachableOwners map[string]bool // addresses of owners that no peer can reach
 	notReady          []atomic.Bool   // per gateway: Options.Ready returns false
@@ -57,6 +60,11 @@
 }
 
 func newFixture(t testing.TB, gateways, backends int) *fixture {
+	return newFixtureWith(t, gateways, backends, treeText)
+}
+
+// newFixtureWith is newFixture with another settings tree.
+func newFixtureWith(t testing.TB, gateways, backends int, tree string) *fixture {
 	f := &fixture{backends: map[string]*pipe.Backend{}, unreachableOwners: map[string]bool{}, notReady: make([]atomic.Bool, gateways)}
 	var list []platform.Instance
 	for i := range backends {
@@ -67,19 +75,23 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.stop = cancel
 	keyring := ledger.NewKeyring([]string{"0123456789abcdef0123456789abcdef"})
-	c := timeClock{time.Now()}
+	c := timeClock{time.Now()} // shared by all gateways
 	for i := range gateways {
 		address := fmt.Sprintf("127.0.0.1:%d", firstOwnerPort+i)
 		owner := ledger.NewOwner(ledger.OwnerOptions{Address: address, Incarnation: uint64(i + 1), Clock: c, Keyring: keyring, Recorder: events.Discard{}})
 		store := settings.NewStore(events.Discard{}, c)
+		directory := fixtureDirectory{f, i, gateways}
+		issuer := ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: c, Epoch: store.Epoch})
+		f.issuers = append(f.issuers, issuer)
 		g := New(Options{
 			Instance: fmt.Sprintf("entry-%d", i), Incarnation: uint64(i + 1), Region: "r", Store: store, Owner: owner,
 			Claimant: ledger.NewClaimant(owner, keyring, fixturePeers{f}, c, address),
+			Permits:  ratelimit.NewPermits(directory, issuer, fixturePeers{f}),
 			Log:      audit.New(10000, 100), Recorder: events.Discard{}, Scope: tally.NoopScope,
 			OrdinalConflict: func() bool { return true }, NotifyPeers: func() {}, Instances: func() int { return 1 }, Ready: func() (bool, string) { return !f.notReady[i].Load(), "" },
 			dial: f.dial,
 		})
-		require.Equal(t, settings.ResultAdopted, store.Offer([]byte(treeText), "test"))
+		require.Equal(t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
 		g.UpdateInstances(list)
 		f.loops.Go(func() { g.Run(ctx) })
 		f.gateways, f.owners = append(f.gateways, g), append(f.owners, owner)
@@ -113,19 +125,51 @@
 	return n
 }
 
+// fixtureDirectory makes each gateway the issuer of the permits of some backend
+// servers. It implements ratelimit.Directory.
+type fixtureDirectory struct {
+	f              *fixture
+	self, gateways int
+}
+
+func (d fixtureDirectory) Responsible(key, _ string) (address string, isSelf bool) {
+	i := int(xxhash.Sum64String(key) % uint64(d.gateways))
+	return fmt.Sprintf("127.0.0.1:%d", firstOwnerPort+i), i == d.self
+}
+
+func (d fixtureDirectory) LiveShare() float64 { return 1 }
+
 type fixturePeers struct{ f *fixture }
 
-func (p fixturePeers) owner(ctx context.Context, address string) (*ledger.Owner, error) {
+// gateway returns the index of the gateway with a peer address. If it is
+// unreachable, gateway returns the error of ctx when that is done.
+func (p fixturePeers) gateway(ctx context.Context, address string) (int, error) {
 	p.f.mu.Lock()
 	unreachable := p.f.unreachableOwners[address]
 	p.f.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
-		return nil, ctx.Err()
+		return 0, ctx.Err()
+	}
+	var port int
+	_, _ = fmt.Sscanf(address, "127.0.0.1:%d", &port)
+	return port - firstOwnerPort, nil
+}
+
+func (p fixturePeers) owner(ctx context.Context, address string) (*ledger.Owner, error) {
+	i, err := p.gateway(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return p.f.owners[i], nil
+}
+
+func (p fixturePeers) Permit(ctx context.Context, address string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	i, err := p.gateway(ctx, address)
+	if err != nil {
+		return nil, err
 	}
-	var i int
-	_, _ = fmt.Sscanf(address, "127.0.0.1:%d", &i)
-	return p.f.owners[i-firstOwnerPort], nil
+	return p.f.issuers[i].Issue(in), nil
 }
 
 func (p fixturePeers) Claim(ctx context.Context, address string, in *peerpb.ClaimRequest) (*peerpb.ClaimResponse, error) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/membership"
 	"lentilpin/pkg/platform"
+	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/settings"
@@ -68,6 +69,9 @@
 	// therefore called for every request.
 	Ready func() (bool, string)
 
+	// Permits obtains the permits for requests to rate-limited backend servers.
+	Permits ratelimit.Source
+
 	// NotifyPeers makes the exchange with the peers run immediately. It is called
 	// when a backend server starts to drain or a request is quarantined.
 	NotifyPeers func()
--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -34,7 +34,7 @@
 	s.gauges.backends.Update(float64(len(s.routingSet.Servers())))
 	s.gauges.ejected.Update(float64(ejected))
 	s.gauges.draining.Update(float64(draining))
-	s.gauges.rateLimited.Update(float64(s.routingSet.RateLimited()))
+	s.gauges.rateLimited.Update(float64(len(s.routingSet.RateLimited())))
 	s.gauges.connections.Update(float64(s.pool.OpenConnections()))
 	s.gauges.retryTokens.Update(s.retryBudget.Tokens())
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "lentilpin/pkg/audit"
+import (
+	"time"
+
+	"lentilpin/pkg/audit"
+)
 
 // Reasons of refusals. They are fixed values in the interface to callers.
 const (
@@ -16,6 +20,7 @@
 	reasonBodyIncomplete = "body_incomplete"
 	reasonDeadline       = "deadline_exceeded"
 	reasonOverloaded     = "overloaded"
+	reasonRateLimited    = "rate_limited"
 	reasonNoBackend      = "no_backend_server"
 	reasonAttemptsFailed = "attempts_failed"
 	reasonBackendLost    = "backend_connection_lost"
@@ -35,6 +40,9 @@
 	detail         string
 	keyState       string
 	sendRetryAfter bool // the cause is temporary: the response has a Retry-After field
+	// retryAfter is the value of that field if it is above the setting of the
+	// callers.
+	retryAfter time.Duration
 }
 
 // notRunResult returns the refusal of a request that did not run.
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -43,6 +43,9 @@
 			continue
 		}
 		s.updateWeights()
+		if !idle {
+			s.permits.Request(s.routingSet.PermitCandidates(), false)
+		}
 		s.probeBudgets.Suspend(suspended)
 		if isSlowRound {
 			s.probeBudgets.Report(s.now(), g.options.Recorder, s.name)
@@ -50,6 +53,7 @@
 			s.retryBudget.Report(g.options.Recorder, s.name)
 			s.updateGauges()
 			s.checkEjected(ctx, probes)
+			s.checkRateLimited(ctx, probes)
 		}
 		if !idle && !s.routingSet.QueriesLoad() {
 			s.sendProbes(ctx, probes)
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"time"
 
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/outlier"
@@ -60,6 +61,21 @@
 	}
 }
 
+// maxRateLimitAge is the age of the statement of a rate limit from which on a health
+// check renews it: a backend server without a permit gets no load queries.
+const maxRateLimitAge = 2 * time.Second
+
+// checkRateLimited sends a health check to each rate-limited backend server that has
+// sent no response for maxRateLimitAge, so that the end of the limit is noticed.
+func (s *service) checkRateLimited(ctx context.Context, running *sync.WaitGroup) {
+	now := s.now()
+	for _, server := range s.routingSet.RateLimited() {
+		if _, age := server.RateLimit(now); age >= maxRateLimitAge {
+			running.Go(func() { s.sendInternalRequest(ctx, server, s.settings.Load().Paths.Health) })
+		}
+	}
+}
+
 // sendInternalRequest sends a load probe, a load query or a health check. The
 // status is 0 if there was no response.
 func (s *service) sendInternalRequest(ctx context.Context, server *routing.Server, path string) (status int, signals transport.Signals) {
--- a/pkg/gateway/rate_limit_test.go
+++ b/pkg/gateway/rate_limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -69,24 +70,30 @@
 	return statuses
 }
 
+// queryingTreeText is treeText with the policy that queries loads before each
+// decision, so that entries learn of a rate limit before their first request.
+var queryingTreeText = strings.Replace(treeText, `"outlier"`, `"routing": {"policy": "fresh"}, "outlier"`, 1)
+
 // Guards against a backend server that gets more requests than the rate limit that
 // it states, because every instance observes the limit by itself or not at all.
 func TestRateLimitHoldsForAllInstances(t *testing.T) {
 	for _, tt := range []struct {
 		desc      string
+		tree      string
 		instances int
 		perSecond float64
 		interval  time.Duration // between requests at one instance
 	}{
-		{"one instance", 1, 5, 20 * time.Millisecond},
-		{"several instances", 6, 5, 100 * time.Millisecond},
-		{"less than one request in 4 s for each instance", 40, 2, 500 * time.Millisecond},
-		{"less than one request in 4 s for all instances", 6, 0.2, 100 * time.Millisecond},
-		{"no requests at all", 6, 0, 100 * time.Millisecond},
+		{"one instance", queryingTreeText, 1, 5, 20 * time.Millisecond},
+		{"several instances", queryingTreeText, 6, 5, 100 * time.Millisecond},
+		{"less than one request in 4 s for each instance", queryingTreeText, 40, 2, 500 * time.Millisecond},
+		{"less than one request in 4 s for all instances", queryingTreeText, 6, 0.2, 100 * time.Millisecond},
+		{"no load queries", treeText, 6, 5, 100 * time.Millisecond},
+		{"no requests at all", queryingTreeText, 6, 0, 100 * time.Millisecond},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFixture(t, tt.instances, 4)
+				f := newFixtureWith(t, tt.instances, 4, tt.tree)
 				defer f.close()
 				f.sendSteadily(tt.interval, 4*time.Second)
 				limited := map[string]*pipe.Backend{}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -13,6 +13,7 @@
 	"lentilpin/pkg/measure"
 	"lentilpin/pkg/outlier"
 	"lentilpin/pkg/quarantine"
+	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/retry"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/routing/subset"
@@ -34,6 +35,7 @@
 	hedgeDelay   *retry.HedgeDelay
 	probeBudgets *measure.Budgets
 	prober       *measure.Prober
+	permits      *ratelimit.Holder
 
 	recorder        events.Recorder
 	notifyPeers     func()
@@ -67,7 +69,11 @@
 }
 
 func newService(g *Gateway, name string, seed uint64, settings *dynamic.Service) (*service, error) {
-	routingSet, err := routing.NewSet(routing.Options{Service: name, FailureDomain: g.options.FailureDomain, Seed: seed, Settings: settings})
+	var permits *ratelimit.Holder
+	routingSet, err := routing.NewSet(routing.Options{
+		Service: name, FailureDomain: g.options.FailureDomain, Seed: seed, Settings: settings,
+		OnPermitUsed: func(server *routing.Server) { permits.Used(server) },
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -96,6 +102,18 @@
 		gauges:            newGauges(scope),
 		background:        &g.background,
 	}
+	used, expired := scope.Counter("permits_used"), scope.Counter("permits_expired")
+	permits = ratelimit.NewHolder(ratelimit.HolderOptions{
+		Source: g.options.Permits, Now: g.now, Go: g.background.Go, Wake: s.queue.Wake,
+		Ended: func(wasUnused bool) {
+			if wasUnused {
+				expired.Inc(1)
+			} else {
+				used.Inc(1)
+			}
+		},
+	})
+	s.permits = permits
 	s.settings.Store(settings)
 	s.lastAttempt.Store(-int64(serviceIdleTimeout) - 1)
 	s.pool = transport.NewPool(transport.Options{Settings: s.settings.Load, Recorder: recorder, Dial: g.options.dial})
@@ -153,7 +171,9 @@
 	if sig.HasReport {
 		server.RecordReport(s.now(), sig.Report, 0)
 	}
-	if !sig.Misdirected && server.SetRateLimit(sig.RateLimit) {
+	if !sig.Misdirected && server.SetRateLimit(s.now(), sig.RateLimit) {
+		s.permits.Request(s.routingSet.PermitCandidates(), false)
+		s.queue.Wake()
 		s.recorder.Record(eventRateLimitChanged, events.F("backend", server.Key()), events.F("source", source),
 			events.F("limited", sig.RateLimit.Stated), events.F("per_second", sig.RateLimit.PerSecond))
 	}
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -87,6 +87,8 @@
 	sortedRecords       []*record          // the same records, sorted by compareRecords
 	tableFull           bool
 	ordinalConflict     bool
+	liveShare           float64       // see LiveShare
+	liveShareLowestAt   time.Duration // when the live share was as low as now
 	cursor              cursors
 	sendBudget          sendBudget
 	roundCount          int
@@ -142,6 +144,7 @@
 		random:            rand.New(rand.NewPCG(options.RandomSeed, options.Self.Incarnation)),
 		self:              proto.CloneOf(options.Self),
 		records:           map[uint64]*record{}, replies: map[string]peerReply{},
+		liveShare:       1,
 		lastConfirmCall: map[string]time.Duration{}, consecutiveFailures: map[string]int{},
 		sendBudget: sendBudget{rate: options.BytesPerSecond},
 	}
@@ -350,6 +353,7 @@
 	t.roundCount++
 	t.self.Counter++
 	t.pruneRecords(t.now())
+	t.updateLiveShare(t.now())
 	sameDomain := t.roundCount%otherDomainRoundInterval != 0
 	t.mu.Unlock()
 	if address := t.randomPeer(sameDomain); address != "" {
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -67,6 +67,12 @@
 	return invoke(ctx, c, address, methodChanges, in, new(peerpb.ChangesResponse))
 }
 
+// Permit asks the peer for the permit to send one request to a rate-limited
+// backend server. The call times out after at most 100 ms.
+func (c *Client) Permit(ctx context.Context, address string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	return invoke(ctx, c, address, methodPermit, in, new(peerpb.PermitResponse))
+}
+
 // Claim requests the grant of a key from the peer. After an error it is unknown
 // whether the key was granted. The call times out at the deadline of ctx but
 // after at most one minute, or after 500 ms if ctx has no deadline.
--- a/pkg/peer/limits.go
+++ b/pkg/peer/limits.go
@@ -15,6 +15,7 @@
 	methodExchange = "/lentilpin.peer.v1.Peer/Exchange"
 	methodTree     = "/lentilpin.peer.v1.Peer/Tree"
 	methodChanges  = "/lentilpin.peer.v1.Peer/Changes"
+	methodPermit   = "/lentilpin.peer.v1.Peer/Permit"
 	methodClaim    = "/lentilpin.peer.v1.Peer/Claim"
 	methodSettle   = "/lentilpin.peer.v1.Peer/Settle"
 	methodHandover = "/lentilpin.peer.v1.Peer/Handover"
@@ -46,6 +47,7 @@
 	method{name: methodExchange, maxBytes: maxSmallMessageBytes, timeout: time.Second},
 	method{name: methodTree, maxBytes: maxTreeMessageBytes, timeout: 3 * time.Second},
 	method{name: methodChanges, maxBytes: maxTreeMessageBytes, timeout: 5 * time.Second},
+	method{name: methodPermit, maxBytes: maxSmallMessageBytes, timeout: 100 * time.Millisecond},
 	method{name: methodClaim, maxBytes: maxSmallMessageBytes, timeout: 500 * time.Millisecond, maxTimeout: time.Minute},
 	method{name: methodSettle, maxBytes: maxSmallMessageBytes, timeout: time.Second},
 	method{name: methodHandover, maxBytes: MaxHandoverBytes, timeout: 3 * time.Second},
@@ -161,6 +163,10 @@
 		m.Header = h
 	case *peerpb.ChangesResponse:
 		m.Header = h
+	case *peerpb.PermitRequest:
+		m.Header = h
+	case *peerpb.PermitResponse:
+		m.Header = h
 	case *peerpb.ClaimRequest:
 		m.Header = h
 	case *peerpb.SettleRequest:
--- /dev/null
+++ b/pkg/ratelimit/holder.go
@@ -0,0 +1,196 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lentilpin/pkg/routing"
+)
+
+const (
+	// permitLifetime is how long a permit can be used. In any span d, a backend server
+	// gets no more requests than there are permits in d + permitLifetime and the time
+	// to open a connection.
+	permitLifetime = 600 * time.Millisecond
+	// maxPermitWait is how far ahead an instance reserves a permit. With many
+	// instances, their reservations are one behind the other.
+	maxPermitWait = 10 * time.Second
+	// minUnusedBackoff and maxUnusedBackoff bound the pause after a permit that was
+	// not used, which doubles with each further one: other instances may need them.
+	minUnusedBackoff = 250 * time.Millisecond
+	maxUnusedBackoff = 4 * time.Second
+)
+
+// Source grants permits. It is implemented by Permits.
+type Source interface {
+	// Take obtains the permit for one request to s, which stated the limit age ago.
+	// If granted, the permit becomes usable after wait, which is at most maxWait;
+	// otherwise no permit is expected before wait.
+	Take(ctx context.Context, s *routing.Server, limit routing.RateLimit, age, maxWait time.Duration) (wait time.Duration, granted bool)
+}
+
+// HolderOptions are the dependencies of a Holder.
+type HolderOptions struct {
+	Source Source
+	Now    func() time.Duration
+	Go     func(task func())    // runs a task in the background
+	Wake   func()               // called when a permit has become usable
+	Ended  func(wasUnused bool) // called when a permit was used or has expired
+}
+
+// Holder holds at most one permit for each rate-limited backend server of a
+// service, and reserves the next one ahead, so that no request waits for the reply
+// of an issuer. It is safe for concurrent use.
+type Holder struct {
+	options HolderOptions
+
+	mu    sync.Mutex
+	holds map[*routing.Server]*hold
+}
+
+// holdState is the state of the permit for one backend server.
+type holdState uint8
+
+const (
+	paused   holdState = iota // no permit is requested before hold.until
+	asking                    // the issuer was asked
+	reserved                  // the permit becomes usable at hold.until
+	usable                    // the permit is usable until hold.until
+)
+
+// hold is the permit for one backend server.
+type hold struct {
+	state  holdState
+	until  time.Duration
+	unused int // number of permits in sequence that expired without use
+}
+
+// NewHolder returns a Holder without permits.
+func NewHolder(o HolderOptions) *Holder {
+	return &Holder{options: o, holds: map[*routing.Server]*hold{}}
+}
+
+// Request requests permits for the given backend servers where none is held,
+// reserved or requested. urgent states that requests are waiting for permits: it
+// ends the pauses after permits that were not used.
+func (h *Holder) Request(servers []*routing.Server, urgent bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.prune(servers)
+	for _, s := range servers {
+		p := h.holds[s]
+		if p == nil {
+			p = &hold{}
+			h.holds[s] = p
+		}
+		if urgent && p.state == paused && p.unused > 0 {
+			p.until, p.unused = 0, 0
+		}
+		if p.state == paused && h.options.Now() >= p.until {
+			h.request(s, p)
+		}
+	}
+}
+
+// prune deletes the state of backend servers that are not listed.
+func (h *Holder) prune(servers []*routing.Server) {
+	if len(h.holds) <= len(servers) {
+		return
+	}
+	listed := make(map[*routing.Server]bool, len(servers))
+	for _, s := range servers {
+		listed[s] = true
+	}
+	for s, p := range h.holds {
+		if !listed[s] && p.state == paused {
+			delete(h.holds, s)
+		}
+	}
+}
+
+// Used requests the next permit after one was used.
+func (h *Holder) Used(s *routing.Server) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.holds[s]; p != nil && p.state == usable {
+		p.unused = 0
+		h.request(s, p)
+		h.options.Ended(false)
+	}
+}
+
+// NextPermit returns the time until the next reserved permit becomes usable, 0 if a
+// request for one has not been answered yet. ok is false if there is neither.
+func (h *Holder) NextPermit() (wait time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	for _, p := range h.holds {
+		var d time.Duration
+		switch p.state {
+		case paused:
+			continue
+		case reserved:
+			d = max(0, p.until-now)
+		case asking, usable:
+		}
+		if !ok || d < wait {
+			wait, ok = d, true
+		}
+	}
+	return wait, ok
+}
+
+// request asks for a permit in the background. The caller holds h.mu.
+func (h *Holder) request(s *routing.Server, p *hold) {
+	limit, age := s.RateLimit(h.options.Now())
+	if !limit.Stated {
+		p.state = paused
+		return
+	}
+	p.state = asking
+	h.options.Go(func() {
+		wait, granted := h.options.Source.Take(context.Background(), s, limit, age, maxPermitWait)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		p.until = h.options.Now() + wait
+		if !granted {
+			p.state = paused
+			return
+		}
+		p.state = reserved
+		time.AfterFunc(wait, func() { h.activate(s, p, limit) })
+	})
+}
+
+// activate makes a reserved permit usable unless the rate limit has changed since it
+// was requested.
+func (h *Holder) activate(s *routing.Server, p *hold, limit routing.RateLimit) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if current, _ := s.RateLimit(h.options.Now()); current != limit {
+		p.state = paused
+		return
+	}
+	p.state, p.until = usable, h.options.Now()+permitLifetime
+	s.GrantPermit()
+	time.AfterFunc(permitLifetime, func() { h.expire(s, p) })
+	h.options.Wake()
+}
+
+// expire ends a permit that has not been used. The timer of a permit that was used
+// in time has no effect.
+func (h *Holder) expire(s *routing.Server, p *hold) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.options.Now()
+	if p.state != usable || now < p.until {
+		return
+	}
+	s.RevokePermit()
+	backoff := min(maxUnusedBackoff, minUnusedBackoff<<min(p.unused, 8))
+	p.unused++
+	p.state, p.until = paused, now+backoff
+	h.options.Ended(true)
+}
--- /dev/null
+++ b/pkg/ratelimit/permits.go
@@ -0,0 +1,50 @@
+package ratelimit
+
+import (
+	"context"
+	"time"
+
+	"lentilpin/pkg/peer/peerpb"
+	"lentilpin/pkg/routing"
+)
+
+// unreachableBackoff is how long an instance does not ask again for the permits of
+// an issuer that did not reply.
+const unreachableBackoff = time.Second
+
+// PeerClient asks the issuer at a peer address for a permit.
+type PeerClient interface {
+	Permit(ctx context.Context, address string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error)
+}
+
+// Permits obtains permits from the issuers. It is safe for concurrent use.
+type Permits struct {
+	directory Directory
+	issuer    *Issuer
+	peers     PeerClient
+}
+
+// NewPermits returns a Permits that obtains the permits of other issuers through
+// peers.
+func NewPermits(directory Directory, issuer *Issuer, peers PeerClient) *Permits {
+	return &Permits{directory: directory, issuer: issuer, peers: peers}
+}
+
+// Take implements Source.
+func (p *Permits) Take(ctx context.Context, s *routing.Server, limit routing.RateLimit, age, maxWait time.Duration) (wait time.Duration, granted bool) {
+	address, isSelf := p.directory.Responsible(s.Key(), s.FailureDomain())
+	if address == "" {
+		return refusalBackoff, false
+	}
+	in := &peerpb.PermitRequest{
+		Backend: s.Key(), FailureDomain: s.FailureDomain(), PerSecond: limit.PerSecond,
+		LimitAgeMs: toMillis(age), MaxWaitMs: uint32(max(0, maxWait.Milliseconds())),
+	}
+	out, err := &peerpb.PermitResponse{}, error(nil)
+	if isSelf {
+		out = p.issuer.Issue(in)
+	} else if out, err = p.peers.Permit(ctx, address, in); err != nil {
+		return unreachableBackoff, false // the peer client records the failure
+	}
+	return fromMillis(out.GetWaitMs()), out.GetState() == peerpb.PermitState_PERMIT_STATE_GRANTED
+}
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -18,6 +18,10 @@
 // a rank that differs between instances, determines which backend servers of a large
 // service an instance prefers.
 //
+// A backend server that states a rate limit is usable only while this instance holds
+// a permit for it (Server.GrantPermit), which the next attempt uses. Package
+// ratelimit obtains the permits.
+//
 // Load reports arrive with ordinary responses and with replies to load queries
 // (Server.RecordReport), and with replies to probes (Set.RecordProbeReply).
 //
--- a/pkg/routing/explain.go
+++ b/pkg/routing/explain.go
@@ -59,7 +59,7 @@
 	e.Known, e.Local, e.FailureDomain = true, srv.Local(), srv.FailureDomain()
 	e.Picks, e.Failed, e.AtLimit = srv.Picks(), srv.Failed(), srv.AtLimit()
 	e.Weight, e.Inflight, e.Limit = srv.Weight(), srv.Inflight(), srv.Limit()
-	e.RateLimit = srv.RateLimit()
+	e.RateLimit, _ = srv.RateLimit(now)
 	e.ErrorShare, e.Latency = srv.ErrorShare(), srv.Latency()
 	e.Report, e.ReportAge, e.HasReport = srv.Reported(now)
 	e.EstimatedLoad = lentilpin.Load(now, srv, s.stats, s.stats.ReportConfidence())
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -79,13 +79,14 @@
 	reportedInflight atomic.Int32
 	reportedQueued   atomic.Int32
 	reportedSlots    atomic.Int32
-	reportedLatency  atomic.Int64              // nanoseconds
-	reportedSlowdown atomic.Uint64             // float64 bits
-	reportAt         atomic.Int64              // time of the report plus one nanosecond; 0: no report
-	begunSinceReport atomic.Int32              // attempts begun since the report
-	downUntil        atomic.Int64              // time until which the backend server counts as unresponsive
-	coldUntil        atomic.Int64              // time until which the backend server counts as cold
-	rateLimit        atomic.Pointer[RateLimit] // nil: never stated
+	reportedLatency  atomic.Int64                    // nanoseconds
+	reportedSlowdown atomic.Uint64                   // float64 bits
+	reportAt         atomic.Int64                    // time of the report plus one nanosecond; 0: no report
+	begunSinceReport atomic.Int32                    // attempts begun since the report
+	downUntil        atomic.Int64                    // time until which the backend server counts as unresponsive
+	coldUntil        atomic.Int64                    // time until which the backend server counts as cold
+	rateLimit        atomic.Pointer[statedRateLimit] // nil: not stated
+	hasPermit        atomic.Bool                     // one attempt is permitted although the backend server is rate-limited
 	loadQuery        loadQuery
 	probedAt         atomic.Int64 // time of the last probe plus one nanosecond; 0: never probed
 
@@ -160,7 +161,8 @@
 }
 
 // BeginAttempt counts an attempt as in flight and returns true. It returns false if
-// the weight is 0 or the limit is reached.
+// the weight is 0, the limit is reached or the rate limit permits no attempt. It uses
+// the permit of a rate-limited backend server.
 func (s *Server) BeginAttempt() bool {
 	if s.weight.Load() == 0 {
 		return false
@@ -173,9 +175,14 @@
 		s.updateUsable()
 		return false
 	}
+	if !s.usePermit() {
+		s.inflight.Add(-1)
+		s.updateUsable()
+		return false
+	}
 	s.picks.Add(1)
 	s.begunSinceReport.Add(1)
-	if n == limit {
+	if n == limit || s.IsRateLimited() {
 		s.updateUsable()
 	}
 	return true
@@ -355,7 +362,7 @@
 
 // Usable reports whether the backend server may take an attempt now.
 func (s *Server) Usable() bool {
-	return s.weight.Load() != 0 && s.inflight.Load() < s.limit.Load()
+	return s.weight.Load() != 0 && s.isPermitted() && s.inflight.Load() < s.limit.Load()
 }
 
 // updateUsable updates the bit of this backend server in the bitmap of the current
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -59,6 +59,9 @@
 	FailureDomain string // of this instance
 	Seed          uint64 // seeds random draws and affinities; must differ between instances
 	Settings      *dynamic.Service
+	// OnPermitUsed is called when Pick has used the permit of a rate-limited backend
+	// server. It must not block. nil: not called.
+	OnPermitUsed func(*Server)
 }
 
 // Set holds the backend servers of one service as this instance sees them. All
@@ -239,16 +242,28 @@
 		if srv == nil {
 			return nil
 		}
-		if srv.BeginAttempt() {
+		if s.begin(srv) {
 			return srv
 		}
 	}
-	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && srv.BeginAttempt() {
+	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && s.begin(srv) {
 		return srv
 	}
 	return nil
 }
 
+// begin begins an attempt and reports the use of a permit.
+func (s *Set) begin(srv *Server) bool {
+	isRateLimited := srv.IsRateLimited()
+	if !srv.BeginAttempt() {
+		return false
+	}
+	if isRateLimited && s.options.OnPermitUsed != nil {
+		s.options.OnPermitUsed(srv)
+	}
+	return true
+}
+
 // HasSpareCapacity reports whether the backend server that the policy would select
 // has spare capacity for an optional attempt, such as a hedge. It returns false if
 // the policy would select none, and true if one is selected and the policy does not
@@ -307,14 +322,55 @@
 // The slice must not be modified.
 func (s *Set) Servers() []*Server { return s.list.Load().Servers() }
 
-// RateLimited returns the number of backend servers that state a rate limit.
-func (s *Set) RateLimited() (n int) {
+// RateLimited returns the backend servers that state a rate limit.
+func (s *Set) RateLimited() (out []*Server) {
+	for _, srv := range s.Servers() {
+		if srv.IsRateLimited() {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
+// permitLocalCount and permitRemoteCount are the numbers of backend servers of the
+// own and of other failure domains for which an instance obtains permits. They bound
+// the number of instances that share the rate limit of one backend server in a large
+// fleet.
+const (
+	permitLocalCount  = 8
+	permitRemoteCount = 4
+)
+
+// PermitCandidates returns the rate-limited backend servers for which this instance
+// should obtain permits: those among the ones of lowest affinity.
+func (s *Set) PermitCandidates() (out []*Server) {
+	l := s.list.Load()
+	appendLimited := func(servers []*Server) {
+		for _, srv := range servers {
+			if srv.IsRateLimited() && srv.Weight() > 0 {
+				out = append(out, srv)
+			}
+		}
+	}
+	local, remote := l.Servers()[:l.Local()], l.Servers()[l.Local():]
+	appendLimited(local[:min(permitLocalCount, len(local))])
+	appendLimited(remote[:min(permitRemoteCount, len(remote))])
+	return out
+}
+
+// NeedsPermit reports whether each backend server that is not in exclude is ejected,
+// draining, or rate-limited without a permit, and at least one lacks a permit.
+func (s *Set) NeedsPermit(exclude []*Server) (needed bool) {
 	for _, srv := range s.Servers() {
-		if srv.RateLimit().Stated {
-			n++
+		switch {
+		case srv.Weight() == 0 || server.Contains(exclude, srv):
+		case !srv.NeedsPermit():
+			return false
+		default:
+			needed = true
 		}
 	}
-	return n
+	return needed
 }
 
 // Settings returns the settings in force.
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -89,7 +89,12 @@
 	return append([]*http.Request(nil), b.requests...)
 }
 
-// Arrivals returns the times at which the requests were received completely.
+// isInternal reports whether an entry sends a request on its own account: a load
+// query, a probe or a health check.
+func isInternal(r *http.Request) bool { return r.URL.Path == "/load" || r.URL.Path == "/health" }
+
+// Arrivals returns the times at which the requests of callers were received
+// completely.
 func (b *Backend) Arrivals() []time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -104,14 +109,16 @@
 	b.limit = limit
 }
 
-// rateLimitField returns the header line with the rate limit, if one is stated.
-func (b *Backend) rateLimitField() string {
+// signals returns the header lines with the load report and, if one is stated, the
+// rate limit.
+func (b *Backend) signals() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limit == "" {
-		return ""
+	lines := "endpoint-load-metrics: TEXT named_metrics.inflight=0,named_metrics.slots=6\r\n"
+	if b.limit != "" {
+		lines += RateLimitHeader + ": " + b.limit + "\r\n"
 	}
-	return RateLimitHeader + ": " + b.limit + "\r\n"
+	return lines
 }
 
 // Close closes all connections.
@@ -187,7 +194,9 @@
 		}
 		b.mu.Lock()
 		b.requests = append(b.requests, req)
-		b.arrivals = append(b.arrivals, time.Now())
+		if !isInternal(req) {
+			b.arrivals = append(b.arrivals, time.Now())
+		}
 		b.mu.Unlock()
 		if !b.respond(c, f, req.Header.Get(TokenHeader)) {
 			return
@@ -229,7 +238,7 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
 		return false
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%sContent-Length: %d\r\n\r\n%s", b.rateLimitField(), len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%sContent-Length: %d\r\n\r\n%s", b.signals(), len(body), body)
 	if f == LateBytes {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\nother")
 		return false
