--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -87,7 +87,7 @@
 				out = append(out, c)
 			}
 		}
-		unavailable, historyLost, revision, changed := s.unavailable, after < s.compacted && !s.missesChanges, s.revision, s.changed
+		unavailable, historyLost, revision, changed := s.unavailable, (after < s.compacted || after > s.revision) && !s.missesChanges, s.revision, s.changed
 		s.mu.Unlock()
 		switch {
 		case unavailable:
