Follow the platform's store into a new era after it was restored

What callers would see: after a drill from which the store comes back with an older copy, requests to backend servers that have left, and none to new ones; a change of the configuration in force late (CONFIG, DRAIN).

Cause: a revision was taken for a point in time. The class is an identifier that is unique only within an epoch which is not part of it.

Change: a position is an era and a revision. Pings end a poll (or the pause before it) that would wait for a revision which means nothing any more; entries that poll the store without serving peers ping, too. The settings tree in force stays, as its version never goes back. A backend server that had left, and that the copy still lists, is not used for 6 s unless it registers again; drain marks hold as before (30 s).

TestEntriesConvergeAfterFaults restores copies now, and waits longer at its end, by the 6 s.

--- a/pkg/entry/changes.go
+++ b/pkg/entry/changes.go
@@ -18,19 +18,19 @@
 type changesClient struct{ e *Entry }
 
 // Changes implements feed.PeerClient.
-func (c changesClient) Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]feed.Change, uint64, error) {
-	resp, err := c.e.peerClient.Changes(ctx, address, &peerpb.ChangesRequest{After: after, WaitMs: uint32(wait.Milliseconds())})
+func (c changesClient) Changes(ctx context.Context, address string, after feed.Position, wait time.Duration) ([]feed.Change, feed.Position, error) {
+	resp, err := c.e.peerClient.Changes(ctx, address, &peerpb.ChangesRequest{After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds())})
 	if err != nil {
-		return nil, 0, err
+		return nil, feed.Position{}, err
 	}
 	switch resp.State {
 	case peerpb.ChangesState_CHANGES_STATE_OK:
 	case peerpb.ChangesState_CHANGES_STATE_NOT_READER:
-		return nil, 0, feed.ErrNotReader
+		return nil, feed.Position{}, feed.ErrNotReader
 	case peerpb.ChangesState_CHANGES_STATE_HISTORY_LOST:
-		return nil, 0, feed.ErrHistoryLost
+		return nil, feed.Position{}, feed.ErrHistoryLost
 	default:
-		return nil, 0, errors.Wrap(errUnknownChangesState, resp.State.String())
+		return nil, feed.Position{}, errors.Wrap(errUnknownChangesState, resp.State.String())
 	}
 	converted := make([]feed.Change, len(resp.Changes))
 	for i, change := range resp.Changes {
@@ -38,7 +38,7 @@
 			Key: change.Key, Value: change.Value, Revision: change.Revision, Deleted: change.Deleted, TreeVersion: change.TreeVersion,
 		}
 	}
-	return converted, resp.Revision, nil
+	return converted, feed.Position{Era: resp.Era, Revision: resp.Revision}, nil
 }
 
 // Changes implements peerpb.DRPCPeerServer.
@@ -46,7 +46,7 @@
 	if s.e.feed == nil {
 		return &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_NOT_READER}, nil
 	}
-	changed, revision, err := s.e.feed.Serve(ctx, req.After, time.Duration(req.WaitMs)*time.Millisecond)
+	changed, at, err := s.e.feed.Serve(ctx, feed.Position{Era: req.Era, Revision: req.After}, time.Duration(req.WaitMs)*time.Millisecond)
 	switch {
 	case errors.Is(err, feed.ErrNotReader):
 		return &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_NOT_READER}, nil
@@ -55,7 +55,7 @@
 	case err != nil:
 		return nil, err
 	}
-	resp := &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_OK, Revision: revision}
+	resp := &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_OK, Revision: at.Revision, Era: at.Era}
 	for _, c := range changed {
 		resp.Changes = append(resp.Changes, &peerpb.Change{
 			Key: c.Key, Value: c.Value, Revision: c.Revision, Deleted: c.Deleted, TreeVersion: c.TreeVersion,
--- a/pkg/feed/doc.go
+++ b/pkg/feed/doc.go
@@ -32,6 +32,14 @@
 // calls to the store fail, the backend servers stay listed for two seconds; those
 // that are alive have registered again by then.
 //
+// The store may be restored from an older copy. It then begins a new era and gives out
+// revisions again, so that a poll that went on from a revision would miss what was
+// written between. A Position therefore states the era of its revision. An entry that
+// notices a new era, by the reply to a poll or to a ping, reads everything again; a
+// relay serves changes of its own era only. The settings tree in force stays, because
+// versions never go back. A backend server that had left before, and that the copy
+// still lists, is not used for three heartbeat intervals unless it registers again.
+//
 // Messages: peerpb.Changes. State: the newest value of each key and the log of
 // changes; both are lost on exit and read again at the start.
 //
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -12,17 +12,38 @@
 // Errors of Store and PeerClient.
 var (
 	// ErrHistoryLost is returned if the changes since the requested revision are
-	// no longer available.
+	// no longer available, or the store was restored from an older copy since.
 	ErrHistoryLost = errors.New("the changes since that revision are no longer available")
 	// ErrNotReader is returned by a peer that is not in contact with the store.
 	ErrNotReader = errors.New("the peer does not read the store")
 )
 
+// Position is a point in the history of the store. A store that is restored from an
+// older copy begins a new era and gives out revisions again, so that revisions can be
+// compared only within an era.
+type Position struct {
+	Era      uint64 // increases with each restoration; 0 if the store states none
+	Revision uint64
+}
+
+// isBefore reports whether p comes before q.
+func (p Position) isBefore(q Position) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
+// latest returns the later one of two positions.
+func latest(p, q Position) Position {
+	if p.isBefore(q) {
+		return q
+	}
+	return p
+}
+
 // Change is the new state of one key.
 type Change struct {
 	Key      string
 	Value    []byte
-	Revision uint64 // store-wide revision of the change
+	Revision uint64 // store-wide revision of the change, in the era in which it was read
 	Deleted  bool
 	// TreeVersion is the version of a settings tree whose value a relay has left
 	// out; otherwise 0.
@@ -31,25 +52,26 @@
 
 // Store is a client of the platform's key-value store.
 type Store interface {
-	// Snapshot returns all keys and a revision. Changes after that revision may
-	// be missing, or included only in part. A stale snapshot is cheaper and may
-	// be seconds old.
-	Snapshot(ctx context.Context, stale bool) ([]Change, uint64, error)
-	// Changes waits up to wait for a change after revision after. It returns the
-	// changes, none at the end of the wait, and the revision to continue from.
-	// The error is ErrHistoryLost if a new snapshot is needed.
-	Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
-	// Ping checks with the cheapest call whether the store is reachable.
-	Ping(ctx context.Context) error
+	// Snapshot returns all keys, as of one era, and a position. Changes after that
+	// position may be missing, or included only in part. A stale snapshot is cheaper
+	// and may be seconds old, and of an earlier era.
+	Snapshot(ctx context.Context, stale bool) ([]Change, Position, error)
+	// Changes waits up to wait for a change after a position. It returns the changes,
+	// none at the end of the wait, and the position to continue from. The error is
+	// ErrHistoryLost if a new snapshot is needed, also because the store was restored.
+	Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error)
+	// Ping checks with the cheapest call whether the store is reachable, and returns
+	// its era.
+	Ping(ctx context.Context) (era uint64, err error)
 	// Tree reads the current settings tree; version 0 means that there is none.
 	Tree(ctx context.Context) (version uint64, text []byte, err error)
 }
 
-// PeerClient reads changes from a peer, like Store.Changes. After revision 0 it returns
-// all keys at once. The error is ErrNotReader or ErrHistoryLost if the peer
+// PeerClient reads changes from a peer, like Store.Changes. After the zero Position it
+// returns all keys at once. The error is ErrNotReader or ErrHistoryLost if the peer
 // reports it.
 type PeerClient interface {
-	Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Changes(ctx context.Context, address string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // Kind is the type of the value under a key of the store.
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -279,19 +279,20 @@
 }
 
 // Guards against an entry whose state permanently differs from the store after
-// faults in any order: store unavailable, changes missed, history lost, relays
-// frozen.
+// faults in any order: store unavailable, changes missed, history lost, store restored
+// from a copy, relays frozen.
 func TestEntriesConvergeAfterFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		type step struct{ action, n int }
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			return step{rapid.IntRange(0, 7).Draw(t, "what"), rapid.IntRange(0, 4).Draw(t, "n")}
+			return step{rapid.IntRange(0, 9).Draw(t, "what"), rapid.IntRange(0, 4).Draw(t, "n")}
 		}), 1, 30).Draw(rt, "steps")
 		var divergence error
 		synctest.Test(t, func(*testing.T) {
 			f := newFleet(5)
 			defer f.close()
 			version := 0
+			saved := f.store.copy()
 			for _, s := range steps {
 				switch s.action {
 				case 0:
@@ -311,13 +312,20 @@
 					f.setFrozen(s.n, s.n%2 == 0)
 				case 7:
 					time.Sleep(time.Duration(s.n) * 700 * time.Millisecond)
+				case 8:
+					saved = f.store.copy()
+				case 9:
+					f.store.restore(saved)
+					if version > 0 { // the operator writes the newest version again
+						f.store.put("tree", fmt.Sprintf("%0*d", version, 0))
+					}
 				}
 			}
 			f.store.locked(func() { f.store.unavailable, f.store.missesChanges = false, false })
 			for i := range f.readers {
 				f.setFrozen(i, false)
 			}
-			time.Sleep(2*storePollWait + expiredHoldTime + recentFailureWindow)
+			time.Sleep(2*storePollWait + expiredHoldTime + recentFailureWindow + withholdTime)
 			divergence = f.checkConverged()
 		})
 		require.NoError(rt, divergence)
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -22,6 +22,8 @@
 	history         []Change
 	compacted       uint64
 	revision        uint64
+	era             uint64
+	staleCopy       *storeCopy // what stale snapshots return; nil: the current content
 	changed         chan struct{}
 	unavailable     bool // all calls but those of Tree fail
 	missesChanges   bool // calls of Changes return no changes
@@ -33,7 +35,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{state: map[string]Change{}, revision: 1, changed: make(chan struct{})}
+	return &fakeStore{state: map[string]Change{}, revision: 1, era: 1, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) put(key, value string) { s.change(Change{Key: key, Value: []byte(value)}) }
@@ -65,17 +67,20 @@
 // compact drops the history of changes.
 func (s *fakeStore) compact() { s.locked(func() { s.history, s.compacted = nil, s.revision }) }
 
-func (s *fakeStore) Snapshot(context.Context, bool) ([]Change, uint64, error) {
+func (s *fakeStore) Snapshot(_ context.Context, stale bool) ([]Change, Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.unavailable {
-		return nil, 0, errStoreUnavailable
+		return nil, Position{}, errStoreUnavailable
 	}
-	return slices.Collect(maps.Values(s.state)), s.revision, nil
+	if c := s.staleCopy; stale && c != nil {
+		return slices.Collect(maps.Values(c.state)), Position{c.era, c.revision}, nil
+	}
+	return slices.Collect(maps.Values(s.state)), Position{s.era, s.revision}, nil
 }
 
-func (s *fakeStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *fakeStore) Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	s.locked(func() { s.calls++; s.changesCalls++ })
@@ -83,44 +88,50 @@
 		s.mu.Lock()
 		var out []Change
 		for _, c := range s.history {
-			if c.Revision > after && !s.missesChanges {
+			if c.Revision > after.Revision && !s.missesChanges {
 				out = append(out, c)
 			}
 		}
-		unavailable, historyLost, revision, changed := s.unavailable, (after < s.compacted || after > s.revision) && !s.missesChanges, s.revision, s.changed
+		unavailable, historyLost, revision, changed := s.unavailable, (after.Revision < s.compacted || after.Revision > s.revision) && !s.missesChanges, s.revision, s.changed
+		era := s.era
 		s.mu.Unlock()
 		switch {
 		case unavailable:
-			return nil, 0, errStoreUnavailable
+			return nil, Position{}, errStoreUnavailable
 		case historyLost:
-			return nil, 0, ErrHistoryLost
+			return nil, Position{}, ErrHistoryLost
+		case len(out) > 0 && era != after.Era:
+			return nil, Position{}, ErrHistoryLost
 		case len(out) > 0:
-			return out, revision, nil
+			return out, Position{era, revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			if era != after.Era {
+				return nil, Position{}, ErrHistoryLost
+			}
 			return nil, after, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 	}
 }
 
-func (s *fakeStore) Ping(ctx context.Context) error {
+func (s *fakeStore) Ping(ctx context.Context) (uint64, error) {
 	s.mu.Lock()
 	s.pings++
 	if s.unansweredPings > 0 {
 		s.unansweredPings--
 		s.mu.Unlock()
 		<-ctx.Done()
-		return ctx.Err()
+		return 0, ctx.Err()
 	}
 	defer s.mu.Unlock()
 	if s.unavailable {
-		return errStoreUnavailable
+		return 0, errStoreUnavailable
 	}
-	return nil
+	return s.era, nil
 }
 
 func (s *fakeStore) Tree(context.Context) (uint64, []byte, error) {
@@ -153,7 +164,7 @@
 	down *link
 }
 
-func (p fleetPeers) Changes(ctx context.Context, address string, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (p fleetPeers) Changes(ctx context.Context, address string, after Position, wait time.Duration) ([]Change, Position, error) {
 	var i int
 	_, _ = fmt.Sscan(address, &i)
 	p.f.mu.Lock()
@@ -161,16 +172,16 @@
 	p.f.mu.Unlock()
 	if frozen {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, Position{}, ctx.Err()
 	}
-	changes, revision, err := p.f.readers[i].Serve(ctx, after, wait)
+	changes, at, err := p.f.readers[i].Serve(ctx, after, wait)
 	if err == nil {
 		err = p.f.links[i].up.transfer(ctx, valueBytes(changes))
 	}
 	if err == nil {
 		err = p.down.transfer(ctx, valueBytes(changes))
 	}
-	return changes, revision, err
+	return changes, at, err
 }
 
 // newFleet starts n entries, of which the first Readers read the store for the
@@ -366,31 +377,31 @@
 	return ctx.Err()
 }
 
-func (s entryStore) Snapshot(ctx context.Context, stale bool) ([]Change, uint64, error) {
+func (s entryStore) Snapshot(ctx context.Context, stale bool) ([]Change, Position, error) {
 	if s.f.isDisconnected(s.entry) {
-		return nil, 0, s.hang(ctx)
+		return nil, Position{}, s.hang(ctx)
 	}
 	return s.fakeStore.Snapshot(ctx, stale)
 }
 
-func (s entryStore) Ping(ctx context.Context) error {
+func (s entryStore) Ping(ctx context.Context) (uint64, error) {
 	if s.f.isDisconnected(s.entry) {
-		return s.hang(ctx)
+		return 0, s.hang(ctx)
 	}
 	return s.fakeStore.Ping(ctx)
 }
 
-func (s entryStore) Changes(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s entryStore) Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 	s.f.setPolling(s.entry, true)
 	defer s.f.setPolling(s.entry, false)
 	pollCtx, cancel := context.WithTimeout(ctx, wait+storeReplyMargin)
 	defer cancel()
 	changes, next, err := s.fakeStore.Changes(ctx, after, wait)
 	if s.f.isDisconnected(s.entry) {
-		return nil, 0, s.hang(ctx)
+		return nil, Position{}, s.hang(ctx)
 	}
 	if len(changes) > 0 && s.f.takeLostReply(s.entry) {
-		return nil, 0, s.hang(pollCtx)
+		return nil, Position{}, s.hang(pollCtx)
 	}
 	if err == nil {
 		err = s.f.links[s.entry].down.transfer(ctx, valueBytes(changes))
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -19,9 +19,9 @@
 		r.waitForReader()
 	}
 	for r.ctx.Err() == nil {
-		revision, err := r.load()
+		at, err := r.load()
 		for err == nil {
-			revision, err = r.applyNextChanges(revision)
+			at, err = r.applyNextChanges(at)
 		}
 		if errors.Is(err, ErrHistoryLost) {
 			r.log.stopFollowing()
@@ -34,16 +34,16 @@
 	}
 }
 
-// applyNextChanges waits for changes after a revision, applies them and returns
-// the revision to continue from.
-func (r *Reader) applyNextChanges(revision uint64) (uint64, error) {
+// applyNextChanges waits for changes after a position, applies them and returns
+// the position to continue from.
+func (r *Reader) applyNextChanges(after Position) (Position, error) {
 	start := time.Now()
-	source, changes, next, err := r.next(revision)
+	source, changes, next, err := r.next(after)
 	if err != nil {
-		return 0, err
+		return Position{}, err
 	}
 	now := time.Now()
-	dirty := r.backends.dropEndedHolds(now)
+	dirty := r.backends.endHolds(now)
 	dirty = r.backends.apply(changes, now, r.storeFailedRecently(now)) || dirty
 	// The instance list comes before the trees, whose decoding takes longer.
 	if dirty {
@@ -72,38 +72,65 @@
 	r.lastUpdate.Store(now.UnixNano())
 }
 
-// next polls a relay for changes after a revision or, if there is none or it
+// next polls a relay for changes after a position or, if there is none or it
 // fails, the store. source is the address of the relay, or sourceStore.
-func (r *Reader) next(revision uint64) (source string, changes []Change, next uint64, err error) {
+func (r *Reader) next(after Position) (source string, changes []Change, next Position, err error) {
+	pollCtx, cancel := r.pollContext()
+	defer cancel()
 	address, ok := r.chooseRelay(time.Now())
 	if !ok && !r.lastReplyLarge {
-		if !clock.Sleep(r.ctx, storePollGap) {
-			return "", nil, 0, r.ctx.Err()
+		if !clock.Sleep(pollCtx, storePollGap) {
+			return "", nil, Position{}, context.Cause(pollCtx)
 		}
 		// A relay may have been discovered meanwhile, mostly after the start.
 		address, ok = r.chooseRelay(time.Now())
 	}
+	r.pollsStore.Store(!ok)
 	if ok {
-		changes, next, err = r.changesFromRelay(address, revision, relayPollWait)
+		changes, next, err = r.changesFromRelay(address, after, relayPollWait)
 		if err == nil {
 			delete(r.relayBackoff, address)
 			r.lastUpdate.Store(time.Now().UnixNano())
-			return address, changes, max(revision, next), nil
+			return address, changes, latest(after, next), nil
 		}
 		if errors.Is(err, ErrHistoryLost) {
-			return "", nil, 0, err
+			return "", nil, Position{}, err
 		}
 		// The store is polled without the pause, because the relay may have
 		// withheld changes.
 	}
+	r.pollsStore.Store(true)
 	wait := storePollWait/2 + rand.N(storePollWait/2)
-	changes, next, err = r.options.Store.Changes(r.ctx, revision, r.backends.limitWait(time.Now(), wait))
+	changes, next, err = r.options.Store.Changes(pollCtx, after, r.backends.limitWait(time.Now(), wait))
+	if err != nil && errors.Is(context.Cause(pollCtx), ErrHistoryLost) {
+		err = ErrHistoryLost
+	}
 	if r.recordStoreResult(err) != nil {
-		return "", nil, 0, err
+		return "", nil, Position{}, err
 	}
 	r.recordStoreAnswer()
 	r.lastReplyLarge = valueBytes(changes) > maxRelayedTreeBytes
-	return sourceStore, changes, max(revision, next), nil
+	return sourceStore, changes, latest(after, next), nil
+}
+
+// pollContext returns the context of a poll of the store and of the pause before it,
+// which cancelPoll ends with the cause ErrHistoryLost.
+func (r *Reader) pollContext() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(r.ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endPoll = cancel
+	return ctx, func() { cancel(nil) }
+}
+
+// cancelPoll ends the poll of the store in progress, or the pause before it, as if the
+// store had lost its history.
+func (r *Reader) cancelPoll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.endPoll != nil {
+		r.endPoll(ErrHistoryLost)
+	}
 }
 
 // publishInstances publishes the current instance list.
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -102,6 +102,7 @@
 	loops           sync.WaitGroup
 	log             changeLog
 	lastPeerRequest atomic.Int64 // last request of a peer, Unix nanoseconds
+	pollsStore      atomic.Bool  // whether the store is polled, and not a relay
 	lastUpdate      atomic.Int64 // last answer of the store or of a relay, Unix nanoseconds; 0: none
 	backends        registrations
 	relayBackoff    map[string]relayBackoff // failed relays, by address
@@ -114,8 +115,9 @@
 	changed       chan struct{} // closed and replaced at each publication
 	version       uint64        // of the settings tree
 	tree          []byte
-	announcedTree uint64 // highest version that a relay has announced without its value
-	listNumber    uint64 // number of instance lists published so far
+	endPoll       context.CancelCauseFunc // ends the latest poll of the store; nil before the first
+	announcedTree uint64                  // highest version that a relay has announced without its value
+	listNumber    uint64                  // number of instance lists published so far
 	instanceList  []platform.Instance
 }
 
@@ -129,8 +131,8 @@
 // WatchInstances.
 func NewReader(options Options) *Reader {
 	r := &Reader{options: options, changed: make(chan struct{}), relayBackoff: map[string]relayBackoff{}, announced: make(chan struct{}, 1)}
-	r.backends = registrations{translator: options.Translator, recorder: options.Recorder, known: map[string]registration{}, heldUntil: map[string]time.Time{}}
-	r.log.reset(0)
+	r.backends = newRegistrations(options.Translator, options.Recorder)
+	r.log.reset(Position{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
--- a/pkg/feed/registrations.go
+++ b/pkg/feed/registrations.go
@@ -17,6 +17,13 @@
 	// registrations that vanish at once are considered expired; fewer are
 	// considered deregistered.
 	minExpiredShare = 0.5
+	// departureMemory is how long a deregistered backend server is remembered, longer
+	// than the age of a copy from which the store is restored.
+	departureMemory = time.Minute
+	// withholdTime is how long a deregistered backend server that a restored store
+	// registers again is not listed: three heartbeat intervals, after which the store
+	// removes it if it is gone, and a margin.
+	withholdTime = 6 * time.Second
 )
 
 // registration is the valid registration of one backend server.
@@ -32,6 +39,60 @@
 	recorder   events.Recorder
 	known      map[string]registration
 	heldUntil  map[string]time.Time // when a held backend server is dropped
+	departed   map[string]departure // backend servers that were deregistered lately
+	withheld   map[string]withheldRegistration
+}
+
+// departure is the deregistration of a backend server.
+type departure struct {
+	start string // of the process; see platform.Instance
+	at    time.Time
+}
+
+// withheldRegistration is the registration of a departed backend server in a
+// restored store. It is listed at a later time unless it changes before.
+type withheldRegistration struct {
+	change Change
+	until  time.Time
+}
+
+// newRegistrations returns an empty list.
+func newRegistrations(translator Translator, recorder events.Recorder) registrations {
+	return registrations{
+		translator: translator, recorder: recorder, known: map[string]registration{},
+		heldUntil: map[string]time.Time{}, departed: map[string]departure{}, withheld: map[string]withheldRegistration{},
+	}
+}
+
+// restored prepares for replace with the snapshot of a store that was restored from an
+// older copy, and returns the snapshot without the registrations of backend servers
+// that have left since. These are withheld.
+func (l *registrations) restored(snapshot map[string]Change, now time.Time) map[string]Change {
+	out := maps.Clone(snapshot)
+	for key, c := range snapshot {
+		d, departed := l.departed[key]
+		if !departed || now.Sub(d.at) > departureMemory || c.Deleted {
+			continue
+		}
+		if reg, ok := l.parse(c, now); ok && reg.instance.Start == d.start {
+			l.withheld[key] = withheldRegistration{c, now.Add(withholdTime)}
+			delete(out, key)
+		}
+	}
+	if len(l.withheld) > 0 {
+		l.recorder.Record(eventRegistrationsWithheld, events.F("backends", len(l.withheld)), events.F("withhold_ms", withholdTime.Milliseconds()))
+	}
+	return out
+}
+
+// recordDeparture remembers that a backend server was deregistered.
+func (l *registrations) recordDeparture(key string, reg registration, now time.Time) {
+	for k, d := range l.departed {
+		if now.Sub(d.at) > departureMemory {
+			delete(l.departed, k)
+		}
+	}
+	l.departed[key] = departure{reg.instance.Start, now}
 }
 
 // replace replaces all registrations by those of a snapshot; vanished ones may be
@@ -51,8 +112,13 @@
 			vanished[key] = true
 		}
 	}
-	for key := range l.held(vanished, now, storeFailedRecently) {
-		next[key] = l.known[key]
+	held := l.held(vanished, now, storeFailedRecently)
+	for key := range vanished {
+		if held[key] {
+			next[key] = l.known[key]
+		} else {
+			l.recordDeparture(key, l.known[key], now)
+		}
 	}
 	l.known = next
 }
@@ -68,6 +134,7 @@
 		}
 		dirty = true
 		delete(vanished, c.Key)
+		delete(l.withheld, c.Key)
 		if c.Deleted {
 			if _, listed := l.known[c.Key]; listed {
 				vanished[c.Key] = true
@@ -77,6 +144,7 @@
 		delete(l.heldUntil, c.Key)
 		if reg, ok := l.parse(c, now); ok {
 			l.known[c.Key] = reg
+			delete(l.departed, c.Key)
 		} else {
 			delete(l.known, c.Key)
 		}
@@ -84,6 +152,7 @@
 	held := l.held(vanished, now, storeFailedRecently)
 	for key := range vanished {
 		if !held[key] {
+			l.recordDeparture(key, l.known[key], now)
 			delete(l.known, key)
 		}
 	}
@@ -131,25 +200,39 @@
 	return out
 }
 
-// dropEndedHolds drops held backend servers whose hold has ended and reports
-// whether there were any.
-func (l *registrations) dropEndedHolds(now time.Time) bool {
-	dropped := false
+// endHolds drops held backend servers whose hold has ended, lists withheld ones whose
+// time has passed, and reports whether there were any.
+func (l *registrations) endHolds(now time.Time) bool {
+	dirty := false
+	for key, w := range l.withheld {
+		if now.Before(w.until) {
+			continue
+		}
+		delete(l.withheld, key)
+		if reg, ok := l.parse(w.change, now); ok {
+			l.known[key] = reg
+			dirty = true
+		}
+	}
 	for key, until := range l.heldUntil {
 		if !now.Before(until) {
 			delete(l.heldUntil, key)
 			delete(l.known, key)
-			dropped = true
+			dirty = true
 		}
 	}
-	return dropped
+	return dirty
 }
 
-// limitWait limits a wait so that it ends no later than the first hold.
+// limitWait limits a wait so that it ends no later than the first hold or withheld
+// registration.
 func (l *registrations) limitWait(now time.Time, wait time.Duration) time.Duration {
 	for _, until := range l.heldUntil {
 		wait = min(wait, max(until.Sub(now), time.Millisecond))
 	}
+	for _, w := range l.withheld {
+		wait = min(wait, max(w.until.Sub(now), time.Millisecond))
+	}
 	return wait
 }
 
--- a/pkg/feed/registrations_test.go
+++ b/pkg/feed/registrations_test.go
@@ -32,8 +32,9 @@
 	return BackendRegistration{Instance: platform.Instance{Name: key, Service: service, Start: start}}, ok
 }
 
-func newRegistrations() *registrations {
-	return &registrations{translator: textStub{}, recorder: events.Discard{}, known: map[string]registration{}, heldUntil: map[string]time.Time{}}
+func newTestRegistrations() *registrations {
+	l := newRegistrations(textStub{}, events.Discard{})
+	return &l
 }
 
 func deletions(revision uint64, keys ...string) (out []Change) {
@@ -57,7 +58,7 @@
 	now := time.Now()
 	keys := []string{"server/a", "server/b", "server/c"}
 	newFilled := func() *registrations {
-		l := newRegistrations()
+		l := newTestRegistrations()
 		var all []Change
 		for i, key := range append(keys, "server/d") {
 			all = append(all, Change{Key: key, Value: []byte("stock 1"), Revision: uint64(i + 1)})
@@ -80,9 +81,9 @@
 		l.apply(deletions(9, keys...), now, true)
 		require.Len(t, l.serverNames(now), 4)
 		require.Equal(t, expiredHoldTime, l.limitWait(now, time.Minute))
-		require.False(t, l.dropEndedHolds(now.Add(expiredHoldTime-1)))
+		require.False(t, l.endHolds(now.Add(expiredHoldTime-1)))
 		l.apply([]Change{{Key: "server/a", Value: []byte("stock 2"), Revision: 12}}, now, false)
-		require.True(t, l.dropEndedHolds(now.Add(expiredHoldTime)))
+		require.True(t, l.endHolds(now.Add(expiredHoldTime)))
 		require.Equal(t, []string{"a", "d"}, l.serverNames(now))
 	})
 	t.Run("registrations missing from a snapshot are held", func(t *testing.T) {
@@ -100,7 +101,7 @@
 // one.
 func TestApplyRegistrationChanges(t *testing.T) {
 	now := time.Now()
-	l := newRegistrations()
+	l := newTestRegistrations()
 	l.apply([]Change{{Key: "server/a", Value: []byte("stock 1"), Revision: 5}, {Key: "other", Value: []byte("x"), Revision: 6}}, now, false)
 	require.False(t, l.apply([]Change{{Key: "server/a", Revision: 4, Deleted: true}}, now, false))
 	require.Equal(t, []string{"a"}, l.serverNames(now))
@@ -112,7 +113,7 @@
 // the start time, which most others state.
 func TestRegistrationWithoutStartTime(t *testing.T) {
 	now := time.Now()
-	l := newRegistrations()
+	l := newTestRegistrations()
 	l.apply([]Change{{Key: "server/a", Value: []byte("stock 1"), Revision: 1}, {Key: "server/b", Value: []byte("stock "), Revision: 2}}, now, false)
 	require.Equal(t, []string{"a", "b"}, l.serverNames(now), "half of the registrations state a start time, which is no majority")
 	l.apply([]Change{{Key: "server/c", Value: []byte("stock 1"), Revision: 3}}, now, false)
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -18,27 +18,27 @@
 	state       map[string]Change
 	changes     []Change
 	compacted   uint64 // changes up to this revision have been dropped from the log
-	revision    uint64
+	position    Position
 	lastContact time.Time     // last answer of the store to this entry; zero: none, or the log is invalid
 	isFollowing bool          // whether the log contains everything that the store has answered
 	changed     chan struct{} // closed and replaced when the content changes or becomes invalid
 }
 
-// reset empties the log; it then starts at revision.
-func (l *changeLog) reset(revision uint64) {
+// reset empties the log; it then starts at a position.
+func (l *changeLog) reset(at Position) {
 	l.state, l.changes = map[string]Change{}, nil
-	l.compacted, l.revision = revision, revision
+	l.compacted, l.position = at.Revision, at
 	l.changed = make(chan struct{})
 }
 
 // replace starts a new log from a snapshot. lastContact is the time of the
 // store's answer, zero if the snapshot came from a relay.
-func (l *changeLog) replace(state map[string]Change, revision uint64, lastContact time.Time) {
+func (l *changeLog) replace(state map[string]Change, at Position, lastContact time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lastContact, l.isFollowing = lastContact, !lastContact.IsZero()
 	oldChanged := l.changed
-	l.reset(revision)
+	l.reset(at)
 	for key, c := range state {
 		if !c.Deleted {
 			l.state[key] = c
@@ -47,12 +47,12 @@
 	close(oldChanged)
 }
 
-// add appends changes up to a revision and drops the oldest ones beyond
-// maxLoggedChanges.
-func (l *changeLog) add(changes []Change, revision uint64) {
+// add appends changes up to a position of the same era and drops the oldest ones
+// beyond maxLoggedChanges.
+func (l *changeLog) add(changes []Change, to Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revision = max(l.revision, revision)
+	l.position = latest(l.position, to)
 	if len(changes) == 0 {
 		return
 	}
@@ -78,8 +78,8 @@
 	l.lastContact, l.isFollowing = now, true
 }
 
-// recordPing records that the store answered a ping. It has no effect while the
-// log does not follow the store.
+// recordPing records that the store of the log's era answered a ping. It has no
+// effect while the log does not follow the store.
 func (l *changeLog) recordPing(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -111,38 +111,39 @@
 	l.changed = make(chan struct{})
 }
 
-// changesAfter returns the changes after a revision, or the state of all keys for
-// revision 0, with the revision of the log and a channel that is closed at the next
-// change. The error is ErrNotReader or ErrHistoryLost.
-func (l *changeLog) changesAfter(after uint64, now time.Time) (out []Change, revision uint64, changed chan struct{}, err error) {
+// changesAfter returns the changes after a position, or the state of all keys for the
+// zero Position, with the position of the log and a channel that is closed at the next
+// change. The error is ErrNotReader, also if the log is of an earlier era, or
+// ErrHistoryLost.
+func (l *changeLog) changesAfter(after Position, now time.Time) (out []Change, at Position, changed chan struct{}, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case after == 0 && len(l.state) > 0:
+	case after == Position{} && len(l.state) > 0:
 		// Served regardless of age: for an entry that starts while the store
 		// is unreachable, the last known state is better than none.
 		for _, c := range l.state {
 			out = append(out, c)
 		}
-		return out, l.revision, l.changed, nil
-	case l.lastContact.IsZero() || now.Sub(l.lastContact) > relayMaxAge:
-		return nil, 0, nil, ErrNotReader
-	case after < l.compacted:
-		return nil, 0, nil, ErrHistoryLost
+		return out, l.position, l.changed, nil
+	case l.lastContact.IsZero() || now.Sub(l.lastContact) > relayMaxAge || after.Era > l.position.Era:
+		return nil, Position{}, nil, ErrNotReader
+	case after.Era < l.position.Era && after.Era > 0, after.Revision < l.compacted:
+		return nil, Position{}, nil, ErrHistoryLost
 	}
 	for _, c := range l.changes {
-		if c.Revision > after {
+		if c.Revision > after.Revision {
 			out = append(out, c)
 		}
 	}
-	return out, l.revision, l.changed, nil
+	return out, l.position, l.changed, nil
 }
 
-// lastRevision returns the revision up to which the log is complete.
-func (l *changeLog) lastRevision() uint64 {
+// lastPosition returns the position up to which the log is complete.
+func (l *changeLog) lastPosition() Position {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.revision
+	return l.position
 }
 
 // contactAge returns the age of the store's last answer; false means that the log
@@ -163,17 +164,17 @@
 // Serve answers a peer's request for changes; see PeerClient.Changes. It waits no
 // longer than storePollWait. The error is ErrNotReader, ErrHistoryLost or that of
 // the context.
-func (r *Reader) Serve(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (r *Reader) Serve(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
 	r.lastPeerRequest.Store(time.Now().UnixNano())
 	deadline := time.Now().Add(min(wait, storePollWait))
 	for {
 		now := time.Now()
-		changes, revision, changed, err := r.log.changesAfter(after, now)
+		changes, at, changed, err := r.log.changesAfter(after, now)
 		if err != nil || len(changes) > 0 {
-			return changes, revision, err
+			return changes, at, err
 		}
 		if !now.Before(deadline) {
-			return nil, max(after, revision), nil
+			return nil, latest(after, at), nil
 		}
 		// The wait ends as soon as the log becomes too old, so that the peer
 		// learns in time that the store was not reached.
@@ -183,19 +184,20 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return nil, 0, ctx.Err()
+			return nil, Position{}, ctx.Err()
 		}
 		timer.Stop()
 	}
 }
 
-// pingLoop checks regularly, while peers send requests to this entry, whether the
-// store is reachable. It pings only if no answer of the store is recent.
+// pingLoop checks regularly, while this entry polls the store or peers send requests
+// to it, whether the store is reachable and still in the same era. It pings only if no
+// answer of the store is recent.
 func (r *Reader) pingLoop() {
 	for wait := pingInterval; clock.Sleep(r.ctx, wait); {
 		wait = pingInterval
 		contactAge, following := r.log.contactAge(time.Now())
-		if !following || !r.isServingPeers(time.Now()) {
+		if !following || !r.isServingPeers(time.Now()) && !r.pollsStore.Load() {
 			continue
 		}
 		if contactAge < pingInterval {
@@ -216,9 +218,17 @@
 	return now.Sub(time.Unix(0, r.lastPeerRequest.Load())) <= peerRequestWindow
 }
 
-// pingStore reports whether the store answers within pingTimeout.
+// pingStore reports whether the store answers within pingTimeout. If the store was
+// restored since the log's last change, the poll in progress is ended: it would wait
+// for changes after a revision that means nothing in the new era. The ping is a stale
+// read, which may be of an earlier era.
 func (r *Reader) pingStore() bool {
 	ctx, cancel := context.WithTimeout(r.ctx, pingTimeout)
 	defer cancel()
-	return r.options.Store.Ping(ctx) == nil
+	era, err := r.options.Store.Ping(ctx)
+	if err == nil && era > r.log.lastPosition().Era {
+		r.log.stopFollowing()
+		r.cancelPoll()
+	}
+	return err == nil
 }
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -24,12 +24,12 @@
 	return addresses[rand.IntN(len(addresses))], true
 }
 
-// changesFromRelay requests the changes after a revision from a relay. The relay
+// changesFromRelay requests the changes after a position from a relay. The relay
 // waits up to wait for a change. A relay that fails is not used for some time.
-func (r *Reader) changesFromRelay(address string, revision uint64, wait time.Duration) ([]Change, uint64, error) {
+func (r *Reader) changesFromRelay(address string, after Position, wait time.Duration) ([]Change, Position, error) {
 	ctx, cancel := context.WithTimeout(r.ctx, wait+relayPollMargin)
 	defer cancel()
-	changes, next, err := r.options.PeerClient.Changes(ctx, address, revision, r.backends.limitWait(time.Now(), wait))
+	changes, next, err := r.options.PeerClient.Changes(ctx, address, after, r.backends.limitWait(time.Now(), wait))
 	if err != nil && r.ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
 		r.backOff(address, errors.Is(err, ErrNotReader))
 		r.options.Recorder.Record(eventRelayAvoided, events.F("address", address), events.F("error", err.Error()))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -8,6 +8,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -53,6 +54,7 @@
 	history     []Item
 	revision    uint64
 	compacted   uint64 // the history up to this revision was dropped
+	era         uint64 // rises with each restoration
 	fault       Fault
 	callsByName map[string]int
 	changed     chan struct{}
@@ -62,7 +64,7 @@
 // New starts an empty store on a loopback address.
 func New() *Store {
 	s := &Store{
-		items: map[string]Item{}, revision: 1, callsByName: map[string]int{},
+		items: map[string]Item{}, revision: 1, era: 1, callsByName: map[string]int{},
 		changed: make(chan struct{}), done: make(chan struct{}),
 	}
 	s.server = httptest.NewServer(s)
@@ -129,6 +131,30 @@
 	}
 }
 
+// Copy is a copy of the content of a store.
+type Copy struct {
+	items    map[string]Item
+	history  []Item
+	revision uint64
+}
+
+// Copy returns a copy of the current content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.items), slices.Clone(s.history), s.revision}
+}
+
+// Restore replaces the content by a copy and begins a new era. Later revisions are
+// given out again. It closes all connections.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	s.items, s.history, s.revision = maps.Clone(c.items), slices.Clone(c.history), c.revision
+	s.era++
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+}
+
 // SetFault sets the injected fault of the calls that arrive from now on.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
@@ -150,6 +176,7 @@
 	s.mu.Lock()
 	s.callsByName[name]++
 	fault := s.fault
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	switch fault {
 	case Unavailable:
@@ -220,7 +247,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		historyLost := after < s.compacted
+		historyLost := after < s.compacted || after > s.revision
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 		events := []Item{}
 		for _, item := range s.history {
 			if item.Revision > after && strings.HasPrefix(item.Key, query.Get("path-prefix")) && !stalled {
