Test refusals and the return of backend servers around rate limits

Callers are refused at once, with the time at which the next permit is expected, while the rate limits of all backend servers are reached; and backend servers get requests again when they stop to state one, also without load queries.

--- a/pkg/gateway/rate_limit_test.go
+++ b/pkg/gateway/rate_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -112,3 +113,56 @@
 		})
 	}
 }
+
+// limitAll makes all backend servers state a rate limit; empty: none.
+func (f *fixture) limitAll(perSecond string) {
+	for _, b := range f.backends {
+		b.SetRateLimit(perSecond)
+	}
+}
+
+// Guards against requests that wait although no backend server can take them, and
+// against a refusal that doesn't tell the caller when to come back.
+func TestRefusalWhenRateLimitsAreReached(t *testing.T) {
+	for _, request := range []func(f *fixture) *http.Request{
+		func(*fixture) *http.Request { return read("a") },
+		func(f *fixture) *http.Request { return order("a", f.owners[0].Issue(time.Minute)) },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixtureWith(t, 1, 4, queryingTreeText)
+			defer f.close()
+			f.sendSteadily(100*time.Millisecond, 4*time.Second)
+			f.limitAll("0.1")
+			f.sendSteadily(100*time.Millisecond, 5*time.Second)
+			start := time.Now()
+			got := f.send(f.gateways[0], request(f))
+			require.Zero(t, time.Since(start))
+			require.Equal(t, http.StatusServiceUnavailable, got.Code)
+			require.Contains(t, got.Body.String(), reasonRateLimited)
+			require.Equal(t, "not_run", got.Header().Get(runHeader))
+			seconds, err := strconv.Atoi(got.Header().Get("Retry-After"))
+			require.NoError(t, err)
+			require.Greater(t, seconds, 1, "the setting alone")
+			require.Zero(t, f.countRuns("a"))
+		})
+	}
+}
+
+// Guards against backend servers that stay without requests after they have stopped to
+// state a rate limit.
+func TestServiceAfterRateLimits(t *testing.T) {
+	for _, tt := range []struct{ desc, tree string }{{"load queries", queryingTreeText}, {"no load queries", treeText}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixtureWith(t, 3, 4, tt.tree)
+				defer f.close()
+				f.limitAll("0")
+				f.sendSteadily(100*time.Millisecond, 10*time.Second)
+				f.limitAll("")
+				time.Sleep(maxRateLimitAge + 2*time.Second)
+				statuses := f.sendSteadily(100*time.Millisecond, time.Second)
+				require.Equal(t, map[int]int{http.StatusOK: 30}, statuses)
+			})
+		})
+	}
+}
