Test the shares of a limit while a partition heals

Callers see no change. For 5 s after a partition of 19 or 40 instances has healed, the shares of all instances that consider themselves responsible for a key stay below 1.5.

--- a/pkg/membership/responsible_test.go
+++ b/pkg/membership/responsible_test.go
@@ -111,7 +111,7 @@
 					f.requireOneResponsible(t, 20*time.Second, nobody)
 				}
 				f.update(func() { f.cutGroup(size/3, false) })
-				time.Sleep(5 * time.Second)
+				f.requireShares(t, 1.5, 5*time.Second, nobody)
 				f.requireOneResponsible(t, 10*time.Second, nobody)
 			})
 		})
