--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -13,43 +13,6 @@
 	"lentilpin/pkg/routing"
 )
 
-// State determines the share of new requests that a backend server may receive.
-type State uint8
-
-// States of a backend server.
-const (
-	StateHealthy   State = iota // weight 1
-	StateSlowStart              // weight rises from slowStartWeight to 1
-	StateEjected                // weight 0
-	StateDraining               // weight 0
-)
-
-// String returns the name of the state, for example "slow_start".
-func (s State) String() string {
-	return [...]string{"healthy", "slow_start", "ejected", "draining"}[s]
-}
-
-// Sources of a drain signal.
-const (
-	SourceResponse = "response"
-	SourcePeer     = "peer"
-	SourceList     = "list"
-	SourceHealth   = "health"
-)
-
-// Reasons for a change of state.
-const (
-	ReasonErrorRatio     = "error_ratio"
-	ReasonLatency        = "latency"
-	ReasonDrainSignal    = "drain_signal"
-	ReasonDrainEnded     = "drain_hold_over"
-	ReasonEjectionEnded  = "ejection_over"
-	ReasonEjectionBound  = "ejection_bound"
-	ReasonNewInList      = "new_in_list"
-	ReasonSlowStart      = "slow_start"
-	ReasonSlowStartEnded = "slow_start_over"
-)
-
 const (
 	slowStartWeight = 0.1                   // weight at the beginning of slow start
 	minLatencyGap   = 10 * time.Millisecond // below this, jitter of short requests would cause ejections
@@ -65,24 +28,6 @@
 	maxUnlisted         = 1024 // servers outside the list whose state is kept
 )
 
-// Change is a change of state or weight of a backend server. From equals To if
-// only the weight has changed.
-type Change struct {
-	Address  string
-	From, To State
-	Weight   float64
-	Reason   string
-}
-
-// DrainMark records that a backend server is draining. SignaledAt is the time of the
-// original drain signal; it is negative if a peer received the signal before this
-// process started. Source is one of the Source constants.
-type DrainMark struct {
-	Address    string
-	SignaledAt time.Duration
-	Source     string
-}
-
 // ServerInfo describes a backend server to operators.
 type ServerInfo struct {
 	Address    string
@@ -96,27 +41,6 @@
 	Ejections  int           // ejections that lengthen the next one
 }
 
-type server struct {
-	address string
-	window  window
-
-	// The fields below are guarded by Detector.mu.
-	state              State
-	reason             string
-	until              time.Duration // end of ejection or slow start
-	since              time.Duration // start of the current state
-	ejections          int
-	ejectionsChangedAt time.Duration // last change of ejections
-	drainMark          DrainMark
-	hasDrainMark       bool // drainMark is set
-	// State and weight that the last Sweep returned.
-	reportedState  State
-	reportedWeight float64
-	boundReported  bool // ejection_bound_reached was recorded
-	failing        sustainedCondition
-	slow           sustainedCondition
-}
-
 // Detector detects outliers among the backend servers of one service. It is safe
 // for concurrent use. Times are durations on the clock of the calling
 // code.
@@ -141,31 +65,6 @@
 	fields []events.Field
 }
 
-// sustainedCondition is a condition that takes effect only after it has been true
-// for some time without interruption.
-type sustainedCondition struct {
-	active bool
-	since  time.Duration
-}
-
-// update sets the condition at now and reports whether it has been active for
-// minDuration.
-func (c *sustainedCondition) update(now time.Duration, active bool, minDuration time.Duration) bool {
-	if active && !c.active {
-		c.since = now
-	}
-	c.active = active
-	return active && now-c.since >= minDuration
-}
-
-type candidate struct {
-	backend *server
-	errors  attemptStats // for the error ratio
-	timed   attemptStats // for the mean latency
-	score   float64      // above 1: eligible for ejection, highest first
-	reason  string
-}
-
 // New returns a detector without backend servers.
 func New(settings *dynamic.Service, recorder events.Recorder) *Detector {
 	d := &Detector{recorder: recorder, settings: settings.Outlier, unlisted: map[string]*server{}}
@@ -290,44 +189,6 @@
 	}
 }
 
-// MarkDraining marks a backend server as draining from now on. source is one of the
-// Source constants. The mark takes effect at once; the next Sweep returns the
-// change.
-func (d *Detector) MarkDraining(now time.Duration, address, source string) {
-	d.Merge(now, now, address, source)
-}
-
-// Merge adds a drain mark whose original signal was at seen, usually from a peer.
-// A time in the future, from a peer whose wall clock is ahead, counts as now. A
-// mark that has expired or is not newer than the known one is ignored.
-func (d *Detector) Merge(now, seen time.Duration, address, source string) {
-	d.mu.Lock()
-	defer d.unlockAndRecord()
-	seen = min(seen, now)
-	if seen+dynamic.MillisToDuration(d.settings.DrainHoldMS) <= now {
-		return
-	}
-	s := (*d.servers.Load())[address]
-	listed := s != nil
-	if s == nil {
-		s = d.unlisted[address]
-	}
-	if s == nil {
-		s = &server{address: address}
-	}
-	if s.hasDrainMark && s.drainMark.SignaledAt >= seen {
-		return
-	}
-	s.drainMark, s.hasDrainMark = DrainMark{Address: address, SignaledAt: seen, Source: source}, true
-	if !listed {
-		d.retainUnlisted(now, s)
-		return
-	}
-	if s.state != StateDraining {
-		d.setState(now, s, StateDraining, ReasonDrainSignal)
-	}
-}
-
 // Health records the result of a health check of an ejected backend server. A
 // failed check postpones the readmission, at most until maxEjectMs after the
 // ejection.
@@ -342,36 +203,6 @@
 	s.until = max(s.until, min(latest, now+dynamic.MillisToDuration(d.settings.HealthPeriodMS)))
 }
 
-// DrainingAddresses returns the sorted addresses of the servers that are marked as
-// draining.
-func (d *Detector) DrainingAddresses(now time.Duration) []string {
-	var out []string
-	for _, m := range d.ActiveDrainMarks(now) {
-		out = append(out, m.Address)
-	}
-	return out
-}
-
-// ActiveDrainMarks returns the drain marks in force, sorted by address. It includes
-// the marks of servers outside the list.
-func (d *Detector) ActiveDrainMarks(now time.Duration) []DrainMark {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []DrainMark
-	for _, s := range d.sortedServers {
-		if d.isDraining(now, s) {
-			out = append(out, s.drainMark)
-		}
-	}
-	for _, s := range d.unlisted {
-		if d.isDraining(now, s) {
-			out = append(out, s.drainMark)
-		}
-	}
-	slices.SortFunc(out, func(a, b DrainMark) int { return cmp.Compare(a.Address, b.Address) })
-	return out
-}
-
 // ServerInfo describes a backend server of the list. It returns false for an address
 // outside the list.
 func (d *Detector) ServerInfo(now time.Duration, address string) (ServerInfo, bool) {
@@ -428,43 +259,6 @@
 	}
 }
 
-func (d *Detector) isDraining(now time.Duration, s *server) bool {
-	return s.hasDrainMark && now < s.drainMark.SignaledAt+dynamic.MillisToDuration(d.settings.DrainHoldMS)
-}
-
-// ejectionBound returns how many servers may be ejected and how many are ejected.
-func (d *Detector) ejectionBound() (allowed, ejected int) {
-	active := 0
-	for _, s := range d.sortedServers {
-		if s.state != StateDraining {
-			active++
-		}
-		if s.state == StateEjected {
-			ejected++
-		}
-	}
-	return int(float64(active) * d.settings.MaxEjectRatio), ejected
-}
-
-// enforceEjectionBound readmits ejected servers, the earliest ejected first, until
-// the number of ejected servers is within the limit.
-func (d *Detector) enforceEjectionBound(now time.Duration) {
-	for allowed, ejected := d.ejectionBound(); ejected > allowed; ejected-- {
-		var earliest *server
-		for _, s := range d.sortedServers {
-			if s.state == StateEjected && (earliest == nil || s.since < earliest.since) {
-				earliest = s
-			}
-		}
-		d.readmit(now, earliest, ReasonEjectionBound)
-	}
-}
-
-func (d *Detector) readmit(now time.Duration, s *server, reason string) {
-	s.window.reset()
-	d.setState(now, s, StateSlowStart, reason)
-}
-
 // setState changes the state of a server and records the event.
 func (d *Detector) setState(now time.Duration, s *server, to State, reason string) {
 	from := s.state
@@ -554,85 +348,3 @@
 		s.ejectionsChangedAt = now
 	}
 }
-
-// ejectOutliers ejects the servers with the highest scores, as many as the limit
-// on ejections allows.
-func (d *Detector) ejectOutliers(now time.Duration) {
-	d.candidates = d.candidates[:0]
-	for _, backend := range d.sortedServers {
-		if backend.state != StateHealthy && backend.state != StateSlowStart {
-			continue
-		}
-		minSamples := int32(d.settings.MinRequests)
-		d.candidates = append(d.candidates, candidate{
-			backend: backend, errors: backend.window.newest(now, minSamples, bucketCount, false), timed: backend.window.newest(now, minSamples, latencyBucketCount, true),
-		})
-	}
-	d.scoreErrors(now)
-	d.scoreLatency(now)
-	slices.SortStableFunc(d.candidates, func(a, b candidate) int { return cmp.Compare(b.score, a.score) })
-	allowed, ejected := d.ejectionBound()
-	for _, c := range d.candidates {
-		if c.score <= 1 {
-			return
-		}
-		if ejected < allowed {
-			ejected++
-			d.setState(now, c.backend, StateEjected, c.reason)
-		} else if !c.backend.boundReported {
-			c.backend.boundReported = true
-			d.queueEvent(eventBoundReached, events.F("address", c.backend.address), events.F("reason", c.reason), events.F("ejected", ejected))
-		}
-	}
-}
-
-// scoreErrors scores servers by error ratio. The scores are above those for
-// latency, so that failing servers are ejected before slow ones.
-func (d *Detector) scoreErrors(now time.Duration) {
-	for i := range d.candidates {
-		c := &d.candidates[i]
-		ratio := c.errors.errorRatio()
-		failing := d.hasRatio(c) && ratio >= d.settings.ErrorRatio &&
-			ratio >= 2*d.medianOf(i, d.hasRatio, func(c *candidate) float64 { return c.errors.errorRatio() })
-		if c.backend.failing.update(now, failing, minFailingDuration) {
-			c.score, c.reason = 1e6+ratio, ReasonErrorRatio
-		}
-	}
-}
-
-// hasRatio reports whether there are enough attempts for an error ratio.
-func (d *Detector) hasRatio(c *candidate) bool { return int(c.errors.count) >= d.settings.MinRequests }
-
-// hasLatency reports whether there are enough latencies for a mean.
-func (d *Detector) hasLatency(c *candidate) bool { return int(c.timed.timed) >= d.settings.MinRequests }
-
-func (d *Detector) scoreLatency(now time.Duration) {
-	median := d.medianOf(-1, d.hasLatency, func(c *candidate) float64 { return float64(c.timed.meanLatency()) })
-	threshold := max(median*d.settings.LatencyFactor, median+float64(minLatencyGap))
-	enoughServers := len(d.medianValues) >= minServersForMedian
-	for i := range d.candidates {
-		c := &d.candidates[i]
-		meanLatency := float64(c.timed.meanLatency())
-		slow := enoughServers && d.hasLatency(c) && meanLatency > threshold
-		if c.backend.slow.update(now, slow, minSlowDuration) && c.score == 0 {
-			c.score, c.reason = meanLatency/threshold, ReasonLatency
-		}
-	}
-}
-
-// medianOf returns the lower median of value over the candidates for which hasData
-// returns true, without the one at index excluded (-1: none), or 0 if there are
-// none.
-func (d *Detector) medianOf(excluded int, hasData func(*candidate) bool, value func(*candidate) float64) float64 {
-	d.medianValues = d.medianValues[:0]
-	for i := range d.candidates {
-		if i != excluded && hasData(&d.candidates[i]) {
-			d.medianValues = append(d.medianValues, value(&d.candidates[i]))
-		}
-	}
-	if len(d.medianValues) == 0 {
-		return 0
-	}
-	slices.Sort(d.medianValues)
-	return d.medianValues[(len(d.medianValues)-1)/2]
-}
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -12,14 +12,6 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/config/dynamic"
-	"lentilpin/pkg/routing/fresh"
-	"lentilpin/pkg/routing/leastoutstanding"
-	"lentilpin/pkg/routing/lentilpin"
-	"lentilpin/pkg/routing/p2c"
-	"lentilpin/pkg/routing/p2creported"
-	"lentilpin/pkg/routing/prequal"
-	"lentilpin/pkg/routing/random"
-	"lentilpin/pkg/routing/roundrobin"
 	"lentilpin/pkg/routing/server"
 )
 
@@ -78,17 +70,6 @@
 	serversByKey atomic.Pointer[map[string]*Server]
 }
 
-// activeSettings holds the settings in force and the policy built from them.
-// Configure replaces it as a whole.
-type activeSettings struct {
-	settings        *dynamic.Service
-	policyName      string
-	policy          server.Policy
-	probeListener   server.ProbeListener        // nil: the policy does not store probe replies
-	querier         server.LoadQuerier          // nil: the policy sends no load queries
-	capacityChecker server.SpareCapacityChecker // nil: the policy does not estimate spare capacity
-}
-
 // randShards is the number of random sources. A decision uses the first unlocked
 // source. A single goroutine therefore always uses the same one, which makes a
 // run with one goroutine reproducible for a seed.
@@ -115,72 +96,6 @@
 	return s, nil
 }
 
-// errorLatency returns the minimum latency that a failed attempt contributes to
-// the latency estimate. A quarter of the attempt timeout is far above any healthy
-// latency.
-func errorLatency(settings *dynamic.Service) time.Duration {
-	return dynamic.MillisToDuration(settings.AttemptTimeoutMS) / 4
-}
-
-// Configure applies new settings. The policy keeps its state unless its name or
-// parameters change. If the settings name a policy that does not exist, Configure
-// returns ErrUnknownPolicy and keeps the previous settings.
-func (s *Set) Configure(settings *dynamic.Service) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	old := s.settings.Load()
-	next := &activeSettings{settings: settings, policyName: settings.Routing.Policy}
-	if old != nil && old.settings.Routing == settings.Routing {
-		next.policy = old.policy
-	} else {
-		policy, err := s.newPolicy(settings)
-		if err != nil {
-			return err
-		}
-		next.policy = policy
-	}
-	next.probeListener, _ = next.policy.(server.ProbeListener)
-	next.querier, _ = next.policy.(server.LoadQuerier)
-	next.capacityChecker, _ = next.policy.(server.SpareCapacityChecker)
-	s.stats.SetErrorLatency(errorLatency(settings))
-	s.settings.Store(next)
-	if old != nil && old.settings.ConnectionsPerInstance() != settings.ConnectionsPerInstance() {
-		for _, srv := range s.Servers() {
-			srv.SetLimit(int32(settings.ConnectionsPerInstance()))
-		}
-	}
-	return nil
-}
-
-func (s *Set) newPolicy(settings *dynamic.Service) (server.Policy, error) {
-	switch r := settings.Routing; r.Policy {
-	case "lentilpin":
-		return lentilpin.New(lentilpin.Options{
-			Choices:            r.Choices,
-			CrossDomainPenalty: time.Duration(r.CrossDomainPenaltyMS * float64(time.Millisecond)),
-		}, s.stats), nil
-	case "fresh":
-		return fresh.New(fresh.Options{
-			MaxLoadQueries: r.MaxLoadQueries, CrossDomainPenalty: r.CrossDomainPenaltyRatio,
-			MaxAge: dynamic.MillisToDuration(r.ReportMaxAgeMS),
-		}, s.stats), nil
-	case "prequal":
-		return prequal.New(), nil
-	case "random":
-		return random.Policy{}, nil
-	case "roundrobin":
-		return roundrobin.New(s.options.Seed), nil
-	case "leastoutstanding":
-		return leastoutstanding.Policy{}, nil
-	case "p2c":
-		return p2c.Policy{}, nil
-	case "p2creported":
-		return p2creported.Policy{}, nil
-	default:
-		return nil, errors.Wrapf(ErrUnknownPolicy, "%q", r.Policy)
-	}
-}
-
 // Update replaces the list of backend servers. A backend server that is already
 // known keeps its state unless its failure domain changes. Backend servers that
 // are no longer listed get no new attempts; their attempts in flight continue.
@@ -322,57 +237,6 @@
 // The slice must not be modified.
 func (s *Set) Servers() []*Server { return s.list.Load().Servers() }
 
-// RateLimited returns the backend servers that state a rate limit.
-func (s *Set) RateLimited() (out []*Server) {
-	for _, srv := range s.Servers() {
-		if srv.IsRateLimited() {
-			out = append(out, srv)
-		}
-	}
-	return out
-}
-
-// permitLocalCount and permitRemoteCount are the numbers of backend servers of the
-// own and of other failure domains for which an instance obtains permits. They bound
-// the number of instances that share the rate limit of one backend server in a large
-// fleet.
-const (
-	permitLocalCount  = 8
-	permitRemoteCount = 4
-)
-
-// PermitCandidates returns the rate-limited backend servers for which this instance
-// should obtain permits: those among the ones of lowest affinity.
-func (s *Set) PermitCandidates() (out []*Server) {
-	l := s.list.Load()
-	appendLimited := func(servers []*Server) {
-		for _, srv := range servers {
-			if srv.IsRateLimited() && srv.Weight() > 0 {
-				out = append(out, srv)
-			}
-		}
-	}
-	local, remote := l.Servers()[:l.Local()], l.Servers()[l.Local():]
-	appendLimited(local[:min(permitLocalCount, len(local))])
-	appendLimited(remote[:min(permitRemoteCount, len(remote))])
-	return out
-}
-
-// NeedsPermit reports whether each backend server that is not in exclude is ejected,
-// draining, or rate-limited without a permit, and at least one lacks a permit.
-func (s *Set) NeedsPermit(exclude []*Server) (needed bool) {
-	for _, srv := range s.Servers() {
-		switch {
-		case srv.Weight() == 0 || server.Contains(exclude, srv):
-		case !srv.NeedsPermit():
-			return false
-		default:
-			needed = true
-		}
-	}
-	return needed
-}
-
 // Settings returns the settings in force.
 func (s *Set) Settings() *dynamic.Service { return s.settings.Load().settings }
 
