Keep departed backend servers out through a whole era of the store

Cause: what was known of the earlier era was carried over in four places.

Change: beginEra resets the revisions and withholds, replace passes over withheld registrations until their revision changes and forgets departures of listed ones, endHolds remembers departures.

--- a/pkg/feed/departed.go
+++ b/pkg/feed/departed.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"maps"
 	"time"
 
 	"lentilpin/pkg/events"
@@ -20,11 +19,15 @@
 	until  time.Time
 }
 
-// restored prepares for replace with the snapshot of a store that was restored from an
-// older copy, and returns the snapshot without the registrations of backend servers
-// that have left since. These are withheld.
-func (l *registrations) restored(snapshot map[string]Change, now time.Time) map[string]Change {
-	out := maps.Clone(snapshot)
+// beginEra prepares for replace with the snapshot of a store that was restored from an
+// older copy: it withholds the registrations of backend servers that have left since,
+// and makes the revisions of the earlier era precede all others.
+func (l *registrations) beginEra(snapshot map[string]Change, now time.Time) {
+	for key, reg := range l.known {
+		reg.revision = 0
+		l.known[key] = reg
+	}
+	clear(l.withheld)
 	for key, c := range snapshot {
 		d, departed := l.departed[key]
 		if !departed || now.Sub(d.at) > departureMemory || c.Deleted {
@@ -32,13 +35,22 @@
 		}
 		if reg, ok := l.parse(c, now); ok && reg.instance.Start == d.start {
 			l.withheld[key] = withheldRegistration{c, now.Add(withholdTime)}
-			delete(out, key)
 		}
 	}
 	if len(l.withheld) > 0 {
 		l.recorder.Record(eventRegistrationsWithheld, events.F("backends", len(l.withheld)), events.F("withhold_ms", withholdTime.Milliseconds()))
 	}
-	return out
+}
+
+// isWithheld reports whether the registration that a change describes is withheld. A
+// later change ends that.
+func (l *registrations) isWithheld(c Change) bool {
+	w, ok := l.withheld[c.Key]
+	if ok && w.change.Revision != c.Revision {
+		delete(l.withheld, c.Key)
+		return false
+	}
+	return ok
 }
 
 // recordDeparture remembers that a backend server was deregistered.
--- a/pkg/feed/events.go
+++ b/pkg/feed/events.go
@@ -16,7 +16,7 @@
 	eventRelayAvoided          = events.New(2115, logrus.InfoLevel, "relay_avoided", "a peer that reads the store for others failed to answer and is not used for some time")
 	eventLargeUpdate           = events.New(2116, logrus.InfoLevel, "large_update", "a reply with large values was received from the platform's store or a relay; meanwhile the changes of other keys were delayed")
 	eventRegistrationsHeld     = events.New(2117, logrus.InfoLevel, "registrations_held", "most registrations of a service vanished while calls to the store failed; the backend servers stay listed for some time")
+	eventTreeReadFailed        = events.New(2118, logrus.WarnLevel, "announced_tree_read_failed", "a settings tree that a relay has announced could not be read from the store; the read is repeated unless a peer delivers the tree")
 	eventStoreRestored         = events.NewChange(2119, logrus.WarnLevel, "store_restored", "the platform's store was restored from an older copy; the full state is read again, settings in force are kept")
 	eventRegistrationsWithheld = events.New(2120, logrus.InfoLevel, "registrations_withheld", "a restored store lists backend servers that have left since the copy; they are not used for some time")
-	eventTreeReadFailed        = events.New(2118, logrus.WarnLevel, "announced_tree_read_failed", "a settings tree that a relay has announced could not be read from the store; the read is repeated unless a peer delivers the tree")
 )
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -120,12 +120,11 @@
 			newest[c.Key] = c
 		}
 	}
-	registered := newest
 	if last := r.log.lastPosition(); last.Era < at.Era && last != (Position{}) {
 		r.options.Recorder.Record(eventStoreRestored, events.F("era", at.Era), events.F("revision", at.Revision), events.F("previous_revision", last.Revision))
-		registered = r.backends.restored(newest, now)
+		r.backends.beginEra(newest, now)
 	}
-	r.backends.replace(registered, now, r.storeFailedRecently(now))
+	r.backends.replace(newest, now, r.storeFailedRecently(now))
 	r.publishInstances(now)
 	for key, c := range newest {
 		newest[key] = r.applyTree(c)
--- a/pkg/feed/registrations.go
+++ b/pkg/feed/registrations.go
@@ -56,11 +56,12 @@
 func (l *registrations) replace(snapshot map[string]Change, now time.Time, storeFailedRecently bool) {
 	next, vanished := map[string]registration{}, map[string]bool{}
 	for key, c := range snapshot {
-		if l.translator.Kind(key) != Registration || c.Deleted {
+		if l.translator.Kind(key) != Registration || c.Deleted || l.isWithheld(c) {
 			continue
 		}
 		if reg, ok := l.parse(c, now); ok {
 			next[key] = reg
+			delete(l.departed, key)
 		}
 	}
 	for key := range l.known {
@@ -172,6 +173,7 @@
 	}
 	for key, until := range l.heldUntil {
 		if !now.Before(until) {
+			l.recordDeparture(key, l.known[key], now)
 			delete(l.heldUntil, key)
 			delete(l.known, key)
 			dirty = true
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -78,8 +78,8 @@
 	l.lastContact, l.isFollowing = now, true
 }
 
-// recordPing records that the store of the log's era answered a ping. It has no
-// effect while the log does not follow the store.
+// recordPing records that the store answered a ping. It has no effect while the
+// log does not follow the store.
 func (l *changeLog) recordPing(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/feed/restore_test.go
+++ b/pkg/feed/restore_test.go
@@ -254,3 +254,55 @@
 		})
 	}
 }
+
+// Guards against registrations of an earlier era whose higher revisions hide the
+// changes of the new one, against departed backend servers that another snapshot of the
+// new era lists, and against ones that are withheld although they have registered again.
+func TestRegistrationsInANewEra(t *testing.T) {
+	now := time.Now()
+	snapshot := func(revision uint64, keys ...string) map[string]Change {
+		out := map[string]Change{}
+		for _, key := range keys {
+			out[key] = Change{Key: key, Value: []byte("stock 1"), Revision: revision}
+		}
+		return out
+	}
+	all := []string{"server/a", "server/b", "server/c"}
+	for _, tt := range []struct {
+		desc string
+		run  func(l *registrations)
+		want []string
+	}{
+		{"a held one registers again", func(l *registrations) {
+			l.beginEra(snapshot(1, "server/a"), now)
+			l.replace(snapshot(1, "server/a"), now, true)
+			l.apply([]Change{{Key: "server/b", Value: []byte("stock 1"), Revision: 2}}, now, false)
+			l.endHolds(now.Add(expiredHoldTime))
+		}, []string{"a", "b"}},
+		{"the history is lost after the restoration", func(l *registrations) {
+			l.apply(deletions(101, "server/a"), now, false)
+			l.beginEra(snapshot(1, all...), now)
+			l.replace(snapshot(1, all...), now, false)
+			l.replace(snapshot(1, all...), now, false)
+		}, []string{"b", "c"}},
+		{"a departed one registers again before a second restoration", func(l *registrations) {
+			l.apply(deletions(101, "server/a"), now, false)
+			l.replace(snapshot(102, all...), now, false)
+			l.beginEra(snapshot(1, all...), now)
+			l.replace(snapshot(1, all...), now, false)
+		}, []string{"a", "b", "c"}},
+		{"a held one does not register again", func(l *registrations) {
+			l.apply(deletions(101, all...), now, true)
+			l.endHolds(now.Add(expiredHoldTime))
+			l.beginEra(snapshot(1, all...), now.Add(expiredHoldTime))
+			l.replace(snapshot(1, all...), now.Add(expiredHoldTime), false)
+		}, nil},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			l := newTestRegistrations()
+			l.replace(snapshot(100, all...), now, false)
+			tt.run(l)
+			require.Equal(t, tt.want, l.serverNames(now))
+		})
+	}
+}
