--- a/pkg/membership/responsible.go
+++ b/pkg/membership/responsible.go
@@ -8,6 +8,25 @@
 	"lentilpin/pkg/peer/peerpb"
 )
 
+// candidate is an instance that may be responsible for a key.
+type candidate struct {
+	member   *peerpb.Member
+	inDomain bool // in the failure domain of the key
+	rank     uint64
+}
+
+// precedes reports whether c is responsible rather than other. The name decides
+// between equal ranks.
+func (c candidate) precedes(other candidate) bool {
+	if c.inDomain != other.inDomain {
+		return c.inDomain
+	}
+	if c.rank != other.rank {
+		return c.rank > other.rank
+	}
+	return c.member.Instance < other.member.Instance
+}
+
 // Responsible returns the peer address of the instance that is responsible for a
 // key, and whether that is this instance. It is the first by rendezvous hashing
 // among the live instances of a failure domain, or among all if that has none. The
@@ -16,24 +35,15 @@
 func (t *Table) Responsible(key, failureDomain string) (address string, isSelf bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var first *peerpb.Member
-	var firstRank uint64
-	firstInDomain := false
+	var first candidate
 	consider := func(m *peerpb.Member) {
 		if isLeaving(m) {
 			return
 		}
-		inDomain := m.FailureDomain == failureDomain
-		rank := xxhash.Sum64String(m.Instance + "\x00" + key)
-		switch {
-		case first != nil && firstInDomain != inDomain:
-			if firstInDomain {
-				return
-			}
-		case first != nil && (rank < firstRank || rank == firstRank && m.Instance > first.Instance):
-			return
+		c := candidate{m, m.FailureDomain == failureDomain, xxhash.Sum64String(m.Instance + "\x00" + key)}
+		if first.member == nil || c.precedes(first) {
+			first = c
 		}
-		first, firstRank, firstInDomain = m, rank, inDomain
 	}
 	consider(t.self)
 	for _, r := range t.sortedRecords {
@@ -42,10 +52,10 @@
 			consider(r.member)
 		}
 	}
-	if first == nil {
+	if first.member == nil {
 		return "", false
 	}
-	return first.Address, first == t.self
+	return first.member.Address, first.member == t.self
 }
 
 // liveShareRecovery is how long the live share stays at its lowest value. When a
