Detect a pause before an instance issues permits to itself

Found by reading.

Cause: only requests of peers checked for a pause first; the permits that an instance issues to itself relied on the periodic check. The epoch that the issuer reads now includes the check, and counts from 0, so that a pause before the first request is noticed, too (TestNoPermitsInDoubt, case paused).

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -87,7 +87,7 @@
 		MaxClaims: conf.Limits.MaxClaims, Keyring: keyring, Recorder: e.recorder,
 	})
 	directory := permitDirectory{e}
-	e.permitIssuer = ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: systemClock, Epoch: e.settingsStore.Epoch})
+	e.permitIssuer = ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: systemClock, Epoch: e.pauseEpoch})
 	e.gateway = gateway.New(gateway.Options{
 		Instance: conf.Instance, Incarnation: e.incarnation, Region: conf.Region,
 		FailureDomain: conf.FailureDomain, Callers: conf.Callers, Ordinal: conf.Ordinal,
@@ -146,6 +146,13 @@
 	return e.canServe()
 }
 
+// pauseEpoch returns the epoch of the settings store, which changes with each pause of
+// the process. It detects a pause that has just ended.
+func (e *Entry) pauseEpoch() uint64 {
+	e.membershipRunner.CheckPause()
+	return e.settingsStore.Epoch()
+}
+
 // permitDirectory implements ratelimit.Directory by the member table, which is
 // created later than the gateway.
 type permitDirectory struct{ e *Entry }
--- a/pkg/entry/peerserver.go
+++ b/pkg/entry/peerserver.go
@@ -22,10 +22,8 @@
 	return s.e.memberTable.HandleTree(req), nil
 }
 
-// Permit implements peerpb.DRPCPeerServer. A pause of the process must be detected
-// before the decision, because the member table may be out of date after it.
+// Permit implements peerpb.DRPCPeerServer.
 func (s peerServer) Permit(_ context.Context, req *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
-	s.e.membershipRunner.CheckPause()
 	return s.e.permitIssuer.Issue(req), nil
 }
 
--- a/pkg/ratelimit/issuer.go
+++ b/pkg/ratelimit/issuer.go
@@ -35,7 +35,8 @@
 type IssuerOptions struct {
 	Directory Directory
 	Clock     clock.Clock
-	// Epoch returns a number that changes when the process was paused.
+	// Epoch returns a number that starts at 0 and changes when the process was paused.
+	// It must notice a pause that has just ended.
 	Epoch func() uint64
 }
 
@@ -60,7 +61,7 @@
 // NewIssuer returns an issuer that issues no permits before settleTime has passed.
 func NewIssuer(o IssuerOptions) *Issuer {
 	return &Issuer{
-		options: o, epoch: o.Epoch(), settledAt: o.Clock.Read().Mono + settleTime, meters: map[string]*usedMeter{},
+		options: o, settledAt: o.Clock.Read().Mono + settleTime, meters: map[string]*usedMeter{},
 	}
 }
 
