Tell refused callers when permits are requested again

What callers saw: while all permits were denied, as with a limit of 0, a 503 rate_limited came with the shortest Retry-After, 0.1 s on the platform, and most repeated requests were refused again.

Cause: NextPermit knew reserved permits only. It returns the time until the next request for one now if none is reserved. TestDenialsAreHeeded checks it and fails with the code before (a wait of 0 in place of 0.5 s).

--- a/pkg/ratelimit/holder.go
+++ b/pkg/ratelimit/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -121,25 +122,30 @@
 }
 
 // NextPermit returns the time until the next reserved permit becomes usable, 0 if a
-// request for one has not been answered yet. ok is false if there is neither.
+// request for one has not been answered yet. If there is neither, ok is false, and wait
+// is the time until the next request for one.
 func (h *Holder) NextPermit() (wait time.Duration, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.options.Now()
+	next, nextRequest := time.Duration(math.MaxInt64), time.Duration(math.MaxInt64)
 	for _, p := range h.holds {
-		var d time.Duration
 		switch p.state {
 		case paused:
-			continue
+			nextRequest = min(nextRequest, p.until)
 		case reserved:
-			d = max(0, p.until-now)
+			next = min(next, p.until)
 		case asking, usable:
+			next = min(next, now)
 		}
-		if !ok || d < wait {
-			wait, ok = d, true
-		}
 	}
-	return wait, ok
+	switch {
+	case next < math.MaxInt64:
+		return max(0, next-now), true
+	case nextRequest < math.MaxInt64:
+		return max(0, nextRequest-now), false
+	}
+	return 0, false
 }
 
 // request asks for a permit in the background. The caller holds h.mu.
--- a/pkg/ratelimit/holder_test.go
+++ b/pkg/ratelimit/holder_test.go
@@ -143,9 +143,10 @@
 func TestDenialsAreHeeded(t *testing.T) {
 	runHolderTest(t, func(t *testing.T, h *holderTest) {
 		h.source.denied, h.source.wait = true, time.Second
-		h.request(10 * time.Second)
+		h.request(10*time.Second + 500*time.Millisecond)
 		require.LessOrEqual(t, h.source.calls.Load(), int32(11))
-		_, ok := h.NextPermit()
+		wait, ok := h.NextPermit()
 		require.False(t, ok)
+		require.InDelta(t, 500*time.Millisecond, wait, float64(20*time.Millisecond), "until the next request for a permit")
 	})
 }
