--- a/pkg/membership/records_test.go
+++ b/pkg/membership/records_test.go
@@ -282,3 +282,19 @@
 		})
 	}
 }
+
+func BenchmarkResponsible(b *testing.B) {
+	for _, size := range []int{19, 107, 600} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := clocktest.NewManual()
+			t := newTable(c, 3, 1, 1, nil)
+			for i := range size - 1 {
+				t.mergeMembers(0, []*peerpb.Member{newTable(c, i+10, uint64(i+10), 1, nil).self})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				t.Responsible("10.0.0.1:80/i-1/1", t.self.FailureDomain)
+			}
+		})
+	}
+}
--- a/pkg/ratelimit/issuer_test.go
+++ b/pkg/ratelimit/issuer_test.go
@@ -157,3 +157,20 @@
 	}
 	require.Less(t, i.Meters(), 200)
 }
+
+func BenchmarkIssue(b *testing.B) {
+	for _, backends := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(backends), func(b *testing.B) {
+			i := newTestIssuer()
+			requests := make([]*peerpb.PermitRequest, backends)
+			for n := range requests {
+				requests[n] = &peerpb.PermitRequest{Backend: fmt.Sprint(n), PerSecond: 5, MaxWaitMs: 10000}
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				i.clock.Advance(time.Millisecond)
+				i.Issue(requests[n%backends])
+			}
+		})
+	}
+}
