Refuse requests at once while all backend servers are overloaded

What callers saw: with rate limits below the demand, and in bursts, 5 to 16 in 100 requests failed with 502 or 504 late, orders among them without a known outcome, where 0 to 2 in 100 were refused.

Cause: the policy fresh selected the backend server of lowest cost, however high that was. Each further request made all requests there wait for longer than their callers do.

Change: above an expected latency of four times the usual service time (routing.maxLatencyRatio) no backend server is selected; the request waits in the queue for at most queue.maxWaitMs, and is refused, not run. A backend server whose load is unknown is still selected.

Evidence: TestChooseNoneIfAllAreOverloaded fails before. A limit on the requests of a slot alone did not help.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -74,6 +74,10 @@
 	// failure domain, as a ratio of the usual service time; default 0.6.
 	CrossDomainPenaltyRatio float64 `json:"crossDomainPenaltyRatio"`
 	MaxLoadQueries          int     `json:"maxProbes"` // default 3; load queries in one round before a decision of the policy fresh
+	// MaxLatencyRatio is the expected latency, as a multiple of the usual service time,
+	// above which the policy fresh selects no backend server; default 4. The request
+	// then waits in the queue for a better one, or is refused.
+	MaxLatencyRatio float64 `json:"maxLatencyRatio"`
 }
 
 // Measuring holds the budgets for load probes and load queries, summed over all
--- a/pkg/routing/configure.go
+++ b/pkg/routing/configure.go
@@ -74,7 +74,7 @@
 		}, s.stats), nil
 	case "fresh":
 		return fresh.New(fresh.Options{
-			MaxLoadQueries: r.MaxLoadQueries, CrossDomainPenalty: r.CrossDomainPenaltyRatio,
+			MaxLoadQueries: r.MaxLoadQueries, CrossDomainPenalty: r.CrossDomainPenaltyRatio, MaxCost: r.MaxLatencyRatio,
 			MaxAge: dynamic.MillisToDuration(r.ReportMaxAgeMS),
 		}, s.stats), nil
 	case "prequal":
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -22,6 +22,10 @@
 // time: the slowdown, multiplied by the wait that its requests cause, plus a
 // penalty for leaving the failure domain. As a report ages, its weight decreases
 // in favor of the mean over all backend servers.
+//
+// If even the lowest cost is above a maximum, no candidate is selected. Each further
+// request would make all of them wait longer than their callers do; refused at once, it
+// is known not to have run, and may be repeated.
 package fresh
 
 import (
@@ -86,6 +90,7 @@
 // Options are the settings of the policy.
 type Options struct {
 	MaxLoadQueries     int           // backend servers queried in one round, default 3
+	MaxCost            float64       // cost above which no backend server is selected, default 4; 0: none
 	CrossDomainPenalty float64       // cost of leaving the failure domain as a share of the usual service time, default 0.6
 	MaxAge             time.Duration // age up to which a report is not queried again, default 100 ms
 }
@@ -123,9 +128,19 @@
 			best, lowest = s, cost
 		}
 	}
+	if best != nil && p.options.MaxCost > 0 && p.isOverloaded(now, best) {
+		return nil
+	}
 	return best
 }
 
+// isOverloaded reports whether a backend server that answers load queries has a cost
+// above the maximum. The cost of one that does not answer says nothing about its load.
+func (p *Policy) isOverloaded(now time.Duration, s *server.Server) bool {
+	_, _, known := s.Reported(now)
+	return known && !s.IsUnresponsive(now) && p.cost(now, s) > p.options.MaxCost
+}
+
 // LoadQueryTargets implements server.LoadQuerier.
 func (p *Policy) LoadQueryTargets(now time.Duration, l *server.List, r *rand.Rand, round server.LoadQueryRound, exclude, out []*server.Server) []*server.Server {
 	var candidates candidateSet
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -23,10 +23,12 @@
 	random  *rand.Rand
 }
 
-func newFixture(local, remote int) *fixture {
+func newFixture(local, remote int) *fixture { return newFixtureWithMaxCost(local, remote, 0) }
+
+func newFixtureWithMaxCost(local, remote int, maxCost float64) *fixture {
 	stats := server.NewServiceStats(time.Second)
 	f := &fixture{
-		policy: fresh.New(fresh.Options{MaxLoadQueries: 3, CrossDomainPenalty: 0.6, MaxAge: 15 * time.Millisecond}, stats),
+		policy: fresh.New(fresh.Options{MaxLoadQueries: 3, MaxCost: maxCost, CrossDomainPenalty: 0.6, MaxAge: 15 * time.Millisecond}, stats),
 		random: rand.New(rand.NewPCG(1, 2)),
 	}
 	for i := range local + remote {
@@ -151,3 +153,29 @@
 	}
 	return -1
 }
+
+// Guards against requests to backend servers that are all overloaded, and against
+// refusals while their load is unknown.
+func TestChooseNoneIfAllAreOverloaded(t *testing.T) {
+	for _, tt := range []struct {
+		desc    string
+		waiting int32 // at each backend server
+		setup   func(f *fixture)
+		chosen  bool
+	}{
+		{"few requests wait", 4, func(*fixture) {}, true},
+		{"many requests wait", 18, func(*fixture) {}, false},
+		{"many requests wait at all but one", 18, func(f *fixture) { f.report(1, 1, 2, 0) }, true},
+		{"many requests wait at the own failure domain only", 18, func(f *fixture) { f.report(2, 1, 2, 0) }, true},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFixtureWithMaxCost(2, 1, 4)
+			for i := range f.servers {
+				f.report(i, 1, 6, tt.waiting)
+			}
+			tt.setup(f)
+			require.Equal(t, tt.chosen, f.choose() != nil)
+		})
+	}
+	require.NotNil(t, newFixtureWithMaxCost(2, 0, 4).choose(), "no load is known")
+}
