--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -33,6 +33,11 @@
 // stale tree for a long time. Replies to requests sent before a pause do not
 // count.
 //
+// Responsible assigns keys, such as backend servers that state a rate limit, to live
+// instances by rendezvous hashing; LiveShare states the part of the known instances
+// that are live, by which a limit on the sum of all instances is scaled during a
+// partition. Package ratelimit uses both.
+//
 // Runner connects the table and the settings store with the client of the
 // platform.
 //
