--- a/pkg/gateway/rate_limit_test.go
+++ b/pkg/gateway/rate_limit_test.go
@@ -75,42 +75,49 @@
 // decision, so that entries learn of a rate limit before their first request.
 var queryingTreeText = strings.Replace(treeText, `"outlier"`, `"routing": {"policy": "fresh"}, "outlier"`, 1)
 
+// rateLimitCase is a fleet of instances in front of one backend server without a rate
+// limit and three with one.
+type rateLimitCase struct {
+	desc      string
+	instances int
+	perSecond float64
+	interval  time.Duration // between requests at one instance
+}
+
+// requireRateLimitHolds checks that from rateLimitNotice after the backend servers have
+// named their limits, none gets more requests than allowed.
+func requireRateLimitHolds(t *testing.T, tree string, tt rateLimitCase) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, tt.instances, 4, tree)
+		defer f.close()
+		f.sendSteadily(tt.interval, 4*time.Second)
+		limited := map[string]*pipe.Backend{}
+		for address, b := range f.backends {
+			if address != "127.0.0.1:9000" {
+				limited[address] = b
+				b.SetRateLimit(strconv.FormatFloat(tt.perSecond, 'f', -1, 64))
+			}
+		}
+		named := time.Now()
+		f.sendSteadily(tt.interval, 15*time.Second)
+		for address, b := range limited {
+			require.LessOrEqual(t, maxInWindow(b.Arrivals(), named.Add(rateLimitNotice)), allowedInWindow(tt.perSecond), address)
+		}
+	})
+}
+
 // Guards against a backend server that gets more requests than the rate limit that
 // it states, because every instance observes the limit by itself or not at all.
 func TestRateLimitHoldsForAllInstances(t *testing.T) {
-	for _, tt := range []struct {
-		desc      string
-		tree      string
-		instances int
-		perSecond float64
-		interval  time.Duration // between requests at one instance
-	}{
-		{"one instance", queryingTreeText, 1, 5, 20 * time.Millisecond},
-		{"several instances", queryingTreeText, 6, 5, 100 * time.Millisecond},
-		{"less than one request in 4 s for each instance", queryingTreeText, 40, 2, 500 * time.Millisecond},
-		{"less than one request in 4 s for all instances", queryingTreeText, 6, 0.2, 100 * time.Millisecond},
-		{"no load queries", treeText, 6, 5, 100 * time.Millisecond},
-		{"no requests at all", queryingTreeText, 6, 0, 100 * time.Millisecond},
+	for _, tt := range []rateLimitCase{
+		{"one instance", 1, 5, 20 * time.Millisecond},
+		{"several instances", 6, 5, 100 * time.Millisecond},
+		{"less than one request in 4 s for each instance", 40, 2, 500 * time.Millisecond},
+		{"less than one request in 4 s for all instances", 6, 0.2, 100 * time.Millisecond},
+		{"no requests at all", 6, 0, 100 * time.Millisecond},
 	} {
-		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFixtureWith(t, tt.instances, 4, tt.tree)
-				defer f.close()
-				f.sendSteadily(tt.interval, 4*time.Second)
-				limited := map[string]*pipe.Backend{}
-				for address, b := range f.backends {
-					if address != "127.0.0.1:9000" {
-						limited[address] = b
-						b.SetRateLimit(strconv.FormatFloat(tt.perSecond, 'f', -1, 64))
-					}
-				}
-				named := time.Now()
-				f.sendSteadily(tt.interval, 15*time.Second)
-				for address, b := range limited {
-					require.LessOrEqual(t, maxInWindow(b.Arrivals(), named.Add(rateLimitNotice)), allowedInWindow(tt.perSecond), address)
-				}
-			})
-		})
+		t.Run(tt.desc, func(t *testing.T) { requireRateLimitHolds(t, queryingTreeText, tt) })
+		t.Run(tt.desc+", no load queries", func(t *testing.T) { requireRateLimitHolds(t, treeText, tt) })
 	}
 }
 
