Refuse requests that may outlive a planned stop, and cut off none

Cause: a stopping entry never asked whether a request can still end, and http.Server.Shutdown closes kept connections on which a request arrives and drops each request that it reads after the shutdown has begun.

Change: a request whose deadline lies after the end of the stop is refused as not run before it is sent, also if its body arrives late or a peer hands it on. Package drain closes a connection only after it was idle for a second, under the lock under which bytes are passed on. "Connection: close" is decided when a response begins.

--- /dev/null
+++ b/pkg/drain/listener.go
@@ -0,0 +1,67 @@
+package drain
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// listener keeps the connections that it has accepted.
+type listener struct {
+	net.Listener
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	draining bool
+	changed  chan struct{} // has a buffer of one; receives when a connection is removed
+}
+
+func newListener(l net.Listener) *listener {
+	return &listener{Listener: l, conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1)}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: accepted, listener: l, idleSince: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+func (l *listener) remove(c *conn) {
+	l.mu.Lock()
+	delete(l.conns, c)
+	l.mu.Unlock()
+	select {
+	case l.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (l *listener) startDraining() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+}
+
+func (l *listener) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
+// open returns the open connections.
+func (l *listener) open() []*conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*conn, 0, len(l.conns))
+	for c := range l.conns {
+		out = append(out, c)
+	}
+	return out
+}
--- a/pkg/entry/fleet_test.go
+++ b/pkg/entry/fleet_test.go
@@ -34,6 +34,7 @@
 // connected over loopback sockets.
 type fleet struct {
 	t        testing.TB
+	stop     stopTimes
 	platform *platform.Server
 	http     *httptest.Server
 	backends []*backend.Server
@@ -47,8 +48,15 @@
 	done chan error
 }
 
+// stopTimes are the drain and the grace of a planned stop, in milliseconds.
+type stopTimes struct{ drainMS, graceMS int }
+
 func newFleet(t testing.TB, entries int, configs ...backend.Config) *fleet {
-	f := &fleet{t: t, platform: platform.New(0), client: &http.Client{Transport: &http.Transport{}}}
+	return newFleetWithStop(t, entries, stopTimes{drainMS: 50, graceMS: 15000}, configs...)
+}
+
+func newFleetWithStop(t testing.TB, entries int, stop stopTimes, configs ...backend.Config) *fleet {
+	f := &fleet{t: t, stop: stop, platform: platform.New(0), client: &http.Client{Transport: &http.Transport{}}}
 	f.http = httptest.NewServer(f.platform.ReadHandler())
 	require.NoError(t, f.platform.Publish([]byte(treeText)))
 	var instances []platform.Instance
@@ -91,7 +99,7 @@
 		"listen":   map[string]string{"callers": listeners.Callers.Addr().String(), "peers": listeners.Peers.Addr().String(), "operators": listeners.Operators.Addr().String()},
 		"platform": f.http.URL, "seedPeers": seedPeers,
 		"secrets":  map[string]any{"keySigning": []string{strings.Repeat("k", 32)}, "peer": strings.Repeat("p", 16), "operator": strings.Repeat("o", 16)},
-		"shutdown": map[string]int{"drainMs": 50, "graceMs": 15000},
+		"shutdown": map[string]int{"drainMs": f.stop.drainMS, "graceMs": f.stop.graceMS},
 	})
 	require.NoError(f.t, err)
 	conf, err := static.Parse(text)
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/gateway"
 	"lentilpin/pkg/peer"
@@ -23,7 +23,7 @@
 // shuts down gracefully. It returns the errors of the listeners and of closing
 // the peer client and the metrics.
 func (e *Entry) Run(ctx context.Context, listeners *Listeners) error {
-	callerSrv, callerListener := gateway.NewServer(e.gateway, listeners.Callers, e.conf.Limits)
+	callerSrv := gateway.NewServer(e.gateway, listeners.Callers, e.conf.Limits)
 	operatorSrv := e.operatorServer()
 
 	// workCtx outlives ctx: settling and the handover need the peer connections
@@ -33,12 +33,12 @@
 	group, groupCtx := errgroup.WithContext(workCtx)
 	group.Go(func() error { return peer.Serve(workCtx, listeners.Peers, peerServer{e: e}, e.peerOptions()) })
 	group.Go(func() error { return ignoreServerClosed(operatorSrv.Serve(listeners.Operators)) })
-	group.Go(func() error { return ignoreServerClosed(callerSrv.Serve(callerListener)) })
-	handoffSrv := gateway.NewHandoffServer(e.gateway, e.conf.Limits)
+	group.Go(callerSrv.Serve)
+	servers := []*drain.Server{callerSrv}
 	if listeners.Requests != nil {
-		group.Go(func() error {
-			return ignoreServerClosed(handoffSrv.Serve(netutil.LimitListener(listeners.Requests, gateway.MaxHandoffConnections)))
-		})
+		handoffSrv := gateway.NewHandoffServer(e.gateway, listeners.Requests, e.conf.Limits)
+		group.Go(handoffSrv.Serve)
+		servers = append(servers, handoffSrv)
 	}
 	readinessSrv := e.readinessServer()
 	if listeners.Ready != nil {
@@ -56,7 +56,7 @@
 	case <-ctx.Done():
 	case <-groupCtx.Done():
 	}
-	e.shutdown(callerSrv, handoffSrv)
+	e.shutdown(servers)
 	_ = operatorSrv.Close()
 	_ = readinessSrv.Close()
 	stop()
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -3,42 +3,48 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/peer/peerpb"
 )
 
-// handoverTimeout bounds the transfer of the ledger to a successor at shutdown.
-const handoverTimeout = 5 * time.Second
+const (
+	// handoverTimeout bounds the transfer of the ledger to a successor at shutdown.
+	handoverTimeout = 5 * time.Second
+	// answerMargin is the time before the end of the grace at which the last requests
+	// must have ended, so that their responses are sent before the connections are
+	// closed. At most a tenth of the grace is used.
+	answerMargin = 200 * time.Millisecond
+)
 
 // shutdown carries out the steps listed in the package comment up to and
 // including the handover. servers serve callers and peers.
-func (e *Entry) shutdown(servers ...*http.Server) {
+func (e *Entry) shutdown(servers []*drain.Server) {
+	drainTime, grace := dynamic.MillisToDuration(e.conf.Shutdown.DrainMS), dynamic.MillisToDuration(e.conf.Shutdown.GraceMS)
+	ctx, cancel := context.WithTimeout(context.Background(), drainTime+grace)
+	defer cancel()
 	e.leaving.Store(true)
 	e.memberTable.SetPhase(peerpb.Phase_PHASE_LEAVING)
-	e.gateway.StartDrain()
+	e.gateway.StartDrain(time.Now().Add(drainTime + grace - min(answerMargin, grace/10)))
 	e.recorder.Record(EventLeaving, events.F("drain_ms", e.conf.Shutdown.DrainMS), events.F("grace_ms", e.conf.Shutdown.GraceMS))
-	time.Sleep(dynamic.MillisToDuration(e.conf.Shutdown.DrainMS))
+	time.Sleep(drainTime)
 
-	ctx, cancel := context.WithTimeout(context.Background(), dynamic.MillisToDuration(e.conf.Shutdown.GraceMS))
-	defer cancel()
-	var shutdowns sync.WaitGroup
+	var drains sync.WaitGroup
 	for _, server := range servers {
-		shutdowns.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				e.recorder.Record(EventRequestsCutOff, events.F("error", err.Error()))
-				_ = server.Close()
+		drains.Go(func() {
+			if cut := server.Drain(ctx); cut > 0 {
+				e.recorder.Record(EventRequestsCutOff, events.F("connections", cut))
 			}
 		})
 	}
-	shutdowns.Wait()
+	drains.Wait()
 	e.gateway.Wait(ctx)
 	if e.conf.Shutdown.HandOver {
 		e.handOver(ctx)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -22,6 +22,7 @@
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/peer/peerpb"
@@ -56,7 +57,7 @@
 	issuers           []*ratelimit.Issuer
 	peerListeners     []*pipeListener
 	peerConns         []net.Conn
-	handoffServers    []*http.Server
+	handoffServers    []*drain.Server
 	backends          map[string]*pipe.Backend
 	unreachableOwners map[string]bool // addresses of owners that no peer can reach
 	notReady          []atomic.Bool   // per gateway: Options.Ready returns false
@@ -105,8 +106,8 @@
 		g.UpdateInstances(list)
 		f.loops.Go(func() { g.Run(ctx) })
 		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-		server := NewHandoffServer(g, static.Defaults().Limits)
-		f.loops.Go(func() { _ = server.Serve(listener) })
+		server := NewHandoffServer(g, listener, static.Defaults().Limits)
+		f.loops.Go(func() { _ = server.Serve() })
 		f.peerListeners, f.handoffServers = append(f.peerListeners, listener), append(f.handoffServers, server)
 		f.gateways, f.owners = append(f.gateways, g), append(f.owners, owner)
 	}
@@ -118,7 +119,7 @@
 	for i, g := range f.gateways {
 		g.Wait(context.Background())
 		g.Close()
-		_ = f.handoffServers[i].Close()
+		f.handoffServers[i].Close()
 	}
 	for _, b := range f.backends {
 		b.Close()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -101,7 +101,7 @@
 
 	hasList    atomic.Bool   // an instance list was received
 	normal     atomic.Uint64 // requests that completed normally
-	draining   atomic.Bool
+	drain      drainState
 	inFlight   atomic.Int64
 	background taskTracker
 
@@ -115,6 +115,7 @@
 	g := &Gateway{
 		options: options, owner: options.Owner, claimant: options.Claimant, auditLog: options.Log,
 		start:           time.Now(),
+		drain:           newDrainState(),
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
 	}
@@ -231,11 +232,6 @@
 // tree was applied. Without both no backend server is known.
 func (g *Gateway) IsInitialized() bool { return g.hasList.Load() && g.current.Load().hasSettings }
 
-// StartDrain makes the gateway ask callers to close their connections. New
-// requests are still served, because the load balancer of the platform detects
-// the drain with a delay.
-func (g *Gateway) StartDrain() { g.draining.Store(true) }
-
 // Wait returns when all background work, such as the report of results to key
 // owners, has ended or when ctx is done.
 func (g *Gateway) Wait(ctx context.Context) {
@@ -250,12 +246,7 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
-	g.serve(w, r)
-}
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.serve(w, r) }
 
 type outcomeKey struct {
 	service, outcome, reason string
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -52,7 +52,7 @@
 	}
 	peers := c.svc.peers
 	for _, address := range c.g.options.Peers.Acceptors(maxHandoffs, func(a string) bool { return peers.isAvoided(c.g.now(), a) }) {
-		if time.Until(c.deadline) < minHandoffTime || ctx.Err() != nil || c.grant != nil && !c.grant.MayDispatch() {
+		if time.Until(c.deadline) < minHandoffTime || c.outlivesDrain() || ctx.Err() != nil || c.grant != nil && !c.grant.MayDispatch() {
 			return result{}, false
 		}
 		if res, ok := c.handTo(ctx, address); ok {
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -6,12 +6,16 @@
 	"crypto/subtle"
 	"encoding/json"
 	"log"
+	"net"
 	"net/http"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/quarantine"
 )
 
@@ -22,20 +26,20 @@
 	maxHandoffTimeout  = 10 * time.Minute
 )
 
-// MaxHandoffConnections bounds the connections that an instance accepts for requests of
+// maxHandoffConnections bounds the connections that an instance accepts for requests of
 // peers, so that they cannot use up its file descriptors.
-const MaxHandoffConnections = 512
+const maxHandoffConnections = 512
 
-// NewHandoffServer returns the HTTP server for requests that peers hand on.
-func NewHandoffServer(g *Gateway, limits static.Limits) *http.Server {
-	return &http.Server{
+// NewHandoffServer returns the HTTP server for requests that peers hand on, on l.
+func NewHandoffServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
+	return drain.NewServer(&http.Server{
 		Handler:           http.HandlerFunc(g.serveHandedOn),
 		MaxHeaderBytes:    limits.MaxHeaderBytes + handoffHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
-	}
+	}, netutil.LimitListener(l, maxHandoffConnections))
 }
 
 // handoffHeaderBytes is the size of the fields that the first instance adds.
@@ -47,9 +51,6 @@
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
-	if g.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	c := &call{g: g, w: w, r: r, startTime: time.Now(), activeSnapshot: g.current.Load()}
 	c.config = c.activeSnapshot.callers
 	if c.id = r.Header.Get(c.config.requestID); c.id == "" {
@@ -106,6 +107,9 @@
 	}
 	c.settings = c.svc.settings.Load()
 	c.deadline = c.startTime.Add(time.Duration(h.TimeoutMS) * time.Millisecond)
+	if c.outlivesDrain() {
+		return refuseInDrain(), false
+	}
 	_ = http.NewResponseController(c.w).SetWriteDeadline(c.deadline.Add(writeGrace))
 	c.target = c.r.URL.RequestURI()
 	if res, ok := c.readBody(); !ok {
--- a/pkg/gateway/idempotent.go
+++ b/pkg/gateway/idempotent.go
@@ -51,6 +51,11 @@
 	if refusal != nil {
 		return refusal
 	}
+	if ic.outlivesDrain() {
+		ic.svc.finishAttempt(server, 0, routing.Canceled)
+		late := refuseInDrain()
+		return &late
+	}
 	ic.startAttempt(server)
 	return nil
 }
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -126,6 +126,10 @@
 			c.settleClaim(claim, peerpb.Run_RUN_NOT_RUN, nil)
 			return notRunResult(http.StatusServiceUnavailable, reasonGrantExpired, "the grant of the key passed before a backend server was free")
 		}
+		if c.outlivesDrain() {
+			c.svc.finishAttempt(server, 0, routing.Canceled)
+			return c.settleWith(claim, refuseInDrain())
+		}
 		a := c.sendAttempt(ctx, server, 0)
 		if !a.isNotRun() {
 			return c.concludeNonIdempotent(ctx, a, claim)
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -29,6 +29,7 @@
 	reasonResponseCut    = "response_cut_short"
 	reasonKeyRequired    = "key_required"
 	reasonGrantExpired   = "grant_expired"
+	reasonShuttingDown   = "shutting_down"
 	reasonReplayed       = "replayed"
 )
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -87,6 +87,7 @@
 	}
 	if res.reason != "" && res.outcome != audit.OutcomeAborted && res.outcome != audit.OutcomeAnswered {
 		c.setNewKeyHeader()
+		c.announceDrain()
 		c.w.Header().Set(runHeader, string(res.run))
 		writeProblem(c.w, c.config, c.id, res)
 	}
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -112,6 +114,9 @@
 		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
 	}
 	c.deadline = c.startTime.Add(timeout)
+	if c.outlivesDrain() {
+		return c.refuseBeforeClaim(http.StatusServiceUnavailable, reasonShuttingDown, refuseInDrain().detail).withRetryAfter(), false
+	}
 	// A caller that does not read its response must not hold the request
 	// forever. The error is ignored because httptest.ResponseRecorder does not
 	// support deadlines.
@@ -133,9 +138,12 @@
 	if c.r.ContentLength > limit {
 		return c.refuseBeforeClaim(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readAllBefore(c.deadline, http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		return c.refuseBeforeClaim(http.StatusRequestTimeout, reasonBodyIncomplete, "the body did not arrive before the deadline"), false
 	case errors.As(err, &tooLarge):
 		return c.refuseBeforeClaim(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
 	case err != nil:
@@ -145,6 +153,21 @@
 	return result{}, true
 }
 
+// readAllBefore reads the body until the deadline or the end of the drain, whichever
+// comes first. A request whose body arrives later cannot be served, and its caller must
+// learn so before the connection is closed.
+func (c *call) readAllBefore(deadline time.Time, body io.Reader) ([]byte, error) {
+	connection := http.NewResponseController(c.w) // errors: httptest.ResponseRecorder has no deadlines
+	_ = connection.SetReadDeadline(deadline)
+	stop := context.AfterFunc(c.g.drain.endCtx, func() { _ = connection.SetReadDeadline(time.Now()) })
+	out, err := io.ReadAll(body)
+	stop()
+	if err == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	}
+	return out, err
+}
+
 // headerBytes returns the approximate size of the request header in bytes.
 // Optional white space is not counted.
 func headerBytes(r *http.Request) int {
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -74,6 +74,7 @@
 		h[name] = values
 	}
 	h.Set(runHeader, string(run))
+	c.announceDrain()
 	if a.resp.ContentLength >= 0 && h.Get("Content-Length") == "" && bodyAllowed(a.resp.Status) && c.r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
@@ -182,6 +183,7 @@
 	h.Set(replayedHeader, "true")
 	h.Set(runHeader, string(audit.Ran))
 	c.setNewKeyHeader()
+	c.announceDrain()
 	status := int(stored.GetStatus())
 	c.w.WriteHeader(status)
 	res := result{outcome: audit.OutcomeAnswered, run: audit.Ran, status: status, reason: reasonReplayed, keyState: keyStateSpent}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -13,6 +13,7 @@
 
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/drain"
 )
 
 // maxKeysPerRequest is the maximum number of keys that one request to keysPath
@@ -27,10 +28,14 @@
 	Keys []string `json:"keys"`
 }
 
-// NewServer returns the HTTP server for callers and the listener that it must
-// serve, both with the given limits. The error log of the server is discarded
-// because callers can cause any number of lines in it.
-func NewServer(g *Gateway, l net.Listener, limits static.Limits) (*http.Server, net.Listener) {
+// NewServer returns the HTTP server for callers on l, with the given limits. The error
+// log of the server is discarded because callers can cause any number of lines in it.
+func NewServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
+	limited := framingListener{netutil.LimitListener(l, limits.MaxConnections), limits.MaxHeaderBytes}
+	return drain.NewServer(newCallerServer(g, limits), limited)
+}
+
+func newCallerServer(g *Gateway, limits static.Limits) *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.POST(keysPath, g.issueKeys)
@@ -47,7 +52,7 @@
 		ErrorLog:          log.New(discardWriter{}, "", 0),
 	}
 	installFramingInspection(server)
-	return server, framingListener{netutil.LimitListener(l, limits.MaxConnections), limits.MaxHeaderBytes}
+	return server
 }
 
 type discardWriter struct{}
@@ -72,6 +77,9 @@
 		keys.Keys[i] = g.owner.Issue(g.keyLifetime())
 	}
 	c.Response().Header().Set("Cache-Control", "no-store")
+	if g.drain.end.Load() != nil {
+		c.Response().Header().Set("Connection", "close")
+	}
 	body, err := json.Marshal(keys)
 	if err != nil {
 		return err
--- a/pkg/gateway/server_test.go
+++ b/pkg/gateway/server_test.go
@@ -15,7 +15,7 @@
 // states.
 func TestRefusalOfRequestForKeys(t *testing.T) {
 	g, _ := newGatewayWithoutSettings(func() (bool, string) { return true, "" })
-	server, _ := NewServer(g, &pipeListener{}, static.Defaults().Limits)
+	server := newCallerServer(g, static.Defaults().Limits)
 	for _, count := range []string{"0", "101", "x"} {
 		w := httptest.NewRecorder()
 		server.Handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, keysPath+"?count="+count, nil))
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -21,6 +21,7 @@
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/platform"
@@ -46,7 +47,7 @@
 // soakInstance is an instance that is stopped in an orderly way and started again.
 type soakInstance struct {
 	gateway         *Gateway
-	callers, peers  *http.Server
+	callers, peers  *drain.Server
 	callerAddress   string
 	requestsAddress string
 	stop            context.CancelFunc
@@ -97,13 +98,13 @@
 	}
 	callers, requests := s.listen(previous.callerAddress), s.listen(previous.requestsAddress)
 	instance := &soakInstance{gateway: g, callerAddress: callers.Addr().String(), requestsAddress: requests.Addr().String()}
-	callerServer, callerListener := NewServer(g, callers, static.Defaults().Limits)
-	instance.callers, instance.peers = callerServer, NewHandoffServer(g, static.Defaults().Limits)
+	instance.callers = NewServer(g, callers, static.Defaults().Limits)
+	instance.peers = NewHandoffServer(g, requests, static.Defaults().Limits)
 	ctx, cancel := context.WithCancel(context.Background())
 	instance.stop = cancel
 	instance.loop.Go(func() { g.Run(ctx) })
-	instance.loop.Go(func() { _ = instance.callers.Serve(callerListener) })
-	instance.loop.Go(func() { _ = instance.peers.Serve(requests) })
+	instance.loop.Go(func() { require.NoError(s.t, instance.callers.Serve()) })
+	instance.loop.Go(func() { require.NoError(s.t, instance.peers.Serve()) })
 	s.instances[i] = instance
 	s.announce(instance.requestsAddress, true)
 }
@@ -129,14 +130,14 @@
 	s.mu.Lock()
 	instance := s.instances[i]
 	s.mu.Unlock()
-	instance.gateway.StartDrain()
+	instance.gateway.StartDrain(time.Now().Add(soakDrain + soakTimeout))
 	s.announce(instance.requestsAddress, false)
 	time.Sleep(soakDrain)
 	ctx, cancel := context.WithTimeout(context.Background(), soakTimeout)
 	defer cancel()
 	var servers sync.WaitGroup
-	servers.Go(func() { require.NoError(s.t, instance.callers.Shutdown(ctx)) })
-	servers.Go(func() { require.NoError(s.t, instance.peers.Shutdown(ctx)) })
+	servers.Go(func() { require.Zero(s.t, instance.callers.Drain(ctx)) })
+	servers.Go(func() { require.Zero(s.t, instance.peers.Drain(ctx)) })
 	servers.Wait()
 	instance.gateway.Wait(ctx)
 	instance.stop()
