Let a repeated SIGTERM not end a planned stop at once

Cause: the second SIGTERM or SIGINT ended the process with every request in progress. Supervisors repeat SIGTERM, and the stop is bounded anyway.

Change: during a stop SIGTERM is recorded (event 1008) and has no effect; only SIGINT ends the process at once, with the same exit code as before. TestExitCodes checked the abort by a second SIGTERM: it now checks that SIGTERM and SIGHUP leave the request in progress to be answered (exit code 0) and that SIGINT aborts (exit code 3), so that no check is lost.

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -107,8 +107,9 @@
 	return platformSettings.Entry, nil
 }
 
-// run serves until the first SIGTERM or SIGINT, which starts a graceful shutdown.
-// The second one ends the process at once with buildinfo.ExitAborted.
+// run serves until the first SIGTERM or SIGINT, which starts a graceful shutdown. A
+// further SIGINT ends the process at once with buildinfo.ExitAborted. A further SIGTERM
+// has no effect: supervisors repeat it, and requests in progress would be cut off.
 func (p *program) run() error {
 	level, err := logrus.ParseLevel(p.settings.LogLevel)
 	if err != nil {
@@ -126,12 +127,6 @@
 	defer cancel()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	go func() {
-		<-signals
-		cancel()
-		<-signals
-		os.Exit(buildinfo.ExitAborted)
-	}()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 
@@ -145,6 +140,16 @@
 	} else {
 		e = entry.NewWithStore(p.settings, log, platform.NewClient(p.platformSettings), platform.NewTranslator(p.platformSettings.Deployment))
 	}
+	go func() {
+		<-signals
+		cancel()
+		for s := range signals {
+			if s == os.Interrupt {
+				os.Exit(buildinfo.ExitAborted)
+			}
+			e.RecordRepeatedStop()
+		}
+	}()
 	go e.WatchSettingsFile(ctx, p.path, p.reload, hangups)
 	go e.ReportDroppedLogLines(ctx, logWriter.Dropped)
 	return e.Run(ctx, listeners)
--- a/pkg/buildinfo/buildinfo.go
+++ b/pkg/buildinfo/buildinfo.go
@@ -9,7 +9,7 @@
 	ExitOK       = 0 // success
 	ExitFailure  = 1 // the operation failed
 	ExitUsage    = 2 // invalid flags or settings
-	ExitAborted  = 3 // terminated at once by a second signal
+	ExitAborted  = 3 // terminated at once by an interrupt during the shutdown
 	ExitPartial  = 4 // some instances did not answer in time
 	ExitNotFound = 5 // the requested item was not found
 )
--- a/pkg/entry/events.go
+++ b/pkg/entry/events.go
@@ -14,5 +14,6 @@
 	EventSettingsFileReloaded = events.NewChange(1005, logrus.InfoLevel, "settings_file_reloaded", "the settings file was reloaded; its seed peers are in force")
 	EventSettingsFileRefused  = events.NewChange(1006, logrus.ErrorLevel, "settings_file_refused", "the changed settings file is invalid and was ignored")
 	EventLogLinesDropped      = events.New(1007, logrus.WarnLevel, "log_lines_dropped", "the reader of the log stream was too slow and log lines were dropped")
+	EventStopRepeated         = events.New(1008, logrus.InfoLevel, "stop_repeated", "another signal to stop arrived during the shutdown and has no effect")
 	EventStopped              = events.New(1004, logrus.InfoLevel, "stopped", "the entry has stopped")
 )
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -51,6 +51,9 @@
 	}
 }
 
+// RecordRepeatedStop records a signal to stop during the shutdown.
+func (e *Entry) RecordRepeatedStop() { e.recorder.Record(EventStopRepeated) }
+
 // handOver transfers the ledger to a peer. The next peer is tried only if this
 // one refused the first chunk; after any other failure the outcome of the
 // ledger's keys is reported as unknown.
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -280,26 +280,44 @@
 	require.LessOrEqual(t, f.backend.Runs()["/shop/orders/x"], 1)
 }
 
-// Guards against wrong exit codes after one SIGTERM, after a second SIGTERM during
-// the graceful shutdown, and for an invalid settings file.
-func TestExitCodes(t *testing.T) {
-	f := newFleet(t, 1)
-	f.signal(0, syscall.SIGTERM)
-	require.Equal(t, buildinfo.ExitOK, f.waitForExitCode(0), f.entries[0].log.String())
-
+// stopDuringRequest starts an entry, sends a read to it and then SIGTERM. It returns when
+// the shutdown has begun: the index of the entry, and the response when it arrives.
+func (f *fleet) stopDuringRequest(path string) (entry int, answered chan response) {
 	f.startEntry(0, 1)
 	f.waitUntilReady(0)
-	f.backend.SetFaults(backend.Faults{SlowAddMS: 5000})
+	entry, answered = len(f.entries)-1, make(chan response, 1)
 	before := f.backend.Stats().Requests
-	go func() { _, _ = f.send(http.MethodGet, 0, ":7000/shop/items/1", "", nil) }()
-	require.Eventually(t, func() bool { return f.backend.Stats().Requests > before }, testTimeout, time.Millisecond)
-	f.signal(len(f.entries)-1, syscall.SIGTERM)
-	require.Eventually(t, func() bool {
+	go func() {
+		resp, _ := f.send(http.MethodGet, 0, ":7000"+path, "", nil)
+		answered <- resp
+	}()
+	require.Eventually(f.t, func() bool { return f.backend.Stats().Requests > before }, testTimeout, time.Millisecond)
+	f.signal(entry, syscall.SIGTERM)
+	require.Eventually(f.t, func() bool {
 		resp, err := f.send(http.MethodGet, 0, ":7002/readyz", "", nil)
 		return err == nil && resp.status == http.StatusServiceUnavailable
 	}, testTimeout, time.Millisecond)
-	f.signal(len(f.entries)-1, syscall.SIGTERM)
-	require.Equal(t, buildinfo.ExitAborted, f.waitForExitCode(len(f.entries)-1))
+	return entry, answered
+}
+
+// Guards against wrong exit codes after one SIGTERM, after a SIGINT during the graceful
+// shutdown, and for an invalid settings file; and against a SIGTERM or SIGHUP during the
+// shutdown that ends the process before the request in progress.
+func TestExitCodes(t *testing.T) {
+	f := newFleet(t, 1)
+	f.signal(0, syscall.SIGTERM)
+	require.Equal(t, buildinfo.ExitOK, f.waitForExitCode(0), f.entries[0].log.String())
+
+	f.backend.SetFaults(backend.Faults{SlowAddMS: 5000})
+	entry, answered := f.stopDuringRequest("/shop/items/1")
+	f.signal(entry, syscall.SIGTERM)
+	f.signal(entry, syscall.SIGHUP)
+	require.Equal(t, http.StatusOK, (<-answered).status)
+	require.Equal(t, buildinfo.ExitOK, f.waitForExitCode(entry))
+
+	entry, _ = f.stopDuringRequest("/shop/items/2")
+	f.signal(entry, syscall.SIGINT)
+	require.Equal(t, buildinfo.ExitAborted, f.waitForExitCode(entry))
 
 	badSettings := filepath.Join(t.TempDir(), "bad.json")
 	require.NoError(t, os.WriteFile(badSettings, []byte(`{"instance": "UPPER"}`), 0o600))
