Serve from the first pages of the store while the others are read

Cause: an entry that starts read all pages of the store before it served. At 472 entries and 1,081 backend servers these are 22 pages each, 0.25 GB over the store's link of 1,000 Mbit/s: about 2 s in which every request is refused.

Change: feed.Store is read page by page. The first page is a current read, which holds the settings tree, so that the version stays exact; two stale pages from random places of the key space give each entry other backend servers. The rest is read as before, and then the changes since.

Measured: TestWholeFleetStartsAtOnce (virtual time; 19, 107 and 472 entries, and a slow store) fails without the first pages: at 472 entries fewer than 0.9 serve after 1 s, and at 107 all use the same backend servers. It passes now.

--- a/pkg/feed/doc.go
+++ b/pkg/feed/doc.go
@@ -24,9 +24,13 @@
 //
 // At the first start of the whole system no entry knows a reader yet, and no
 // caller is waiting. The entries then discover each other first, and all but the
-// readers load everything from their relay. Otherwise an entry starts with a
-// stale snapshot, which is cheap, and then reads the changes since, so that its
-// state is exact before it is used. It starts over after a lost history, a lost
+// readers load everything from their relay. Otherwise an entry reads the store, page by
+// page. The first page is current and holds the settings tree; the others are stale, which
+// is cheap, and followed by the changes since, which make the state exact. With the tree
+// and pages from two random places the entry already serves: when a large fleet starts at
+// once, all pages of all entries take longer over the store's link than callers wait. Until
+// the state is exact, a request may be sent to a backend server that has left; the identity
+// that each request states keeps others from running it. An entry starts over after a lost history, a lost
 // answer or a failed call to the store. If the store is unreachable at the start,
 // a relay serves its last known state.
 //
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -58,12 +58,18 @@
 	TreeVersion uint64
 }
 
+// Page is a part of the keys of the store.
+type Page struct {
+	Changes []Change // in the order of keys
+	At      Position // as of which the page was read
+	HasMore bool     // whether further keys follow
+}
+
 // Store is a client of the platform's key-value store.
 type Store interface {
-	// Snapshot returns all keys, as of one era, and a position. Changes after that
-	// position may be missing, or included only in part. A stale snapshot is cheaper
-	// and may be seconds old, and of an earlier era.
-	Snapshot(ctx context.Context, stale bool) ([]Change, Position, error)
+	// Page returns the keys that follow a key, in their order; "" for the first ones. A
+	// stale page is cheaper and may be seconds old, and of an earlier era.
+	Page(ctx context.Context, after string, stale bool) (Page, error)
 	// Changes waits up to wait for a change after a position. It returns the changes,
 	// none at the end of the wait, and the position to continue from. The error is
 	// ErrHistoryLost if a new snapshot is needed, also because the store was restored.
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -26,18 +26,22 @@
 	era             uint64
 	staleCopy       *storeCopy // what stale snapshots return; nil: the current content
 	changed         chan struct{}
-	unavailable     bool // all calls but those of Tree fail
-	missesChanges   bool // calls of Changes return no changes
-	calls           int  // of Snapshot and Changes
-	changesCalls    int  // calls of Changes
-	treeCalls       int  // calls of Tree
-	treeReads       int  // replies of any call but Snapshot that hold a settings tree
-	pings           int  // reachability checks
-	unansweredPings int  // number of further pings that get no answer
+	unavailable     bool          // all calls but those of Tree fail
+	missesChanges   bool          // calls of Changes return no changes
+	pageItems       int           // on one page
+	pageDelay       time.Duration // of a reply with a page
+	link            *link         // that replies with pages share
+	calls           int           // of Changes, and of Page for the first page
+	pageCalls       int           // of Page
+	changesCalls    int           // calls of Changes
+	treeCalls       int           // calls of Tree
+	treeReads       int           // replies of any call but Page that hold a settings tree
+	pings           int           // reachability checks
+	unansweredPings int           // number of further pings that get no answer
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{state: map[string]Change{}, revision: 1, era: 1, changed: make(chan struct{})}
+	return &fakeStore{state: map[string]Change{}, revision: 1, era: 1, pageItems: 1000, changed: make(chan struct{})}
 }
 
 func (s *fakeStore) put(key, value string) { s.change(Change{Key: key, Value: []byte(value)}) }
@@ -69,17 +73,42 @@
 // compact drops the history of changes.
 func (s *fakeStore) compact() { s.locked(func() { s.history, s.compacted = nil, s.revision }) }
 
-func (s *fakeStore) Snapshot(_ context.Context, stale bool) ([]Change, Position, error) {
+func (s *fakeStore) Page(ctx context.Context, after string, stale bool) (Page, error) {
+	p, err := s.page(after, stale)
+	if err == nil {
+		err = s.link.transfer(ctx, valueBytes(p.Changes))
+	}
+	if !clock.Sleep(ctx, s.pageDelay) {
+		err = ctx.Err()
+	}
+	return p, err
+}
+
+func (s *fakeStore) page(after string, stale bool) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
-	if s.unavailable {
-		return nil, Position{}, errStoreUnavailable
+	if after == "" {
+		s.calls++
 	}
+	s.pageCalls++
+	state, p := s.state, Page{At: Position{s.era, s.revision}}
 	if c := s.staleCopy; stale && c != nil {
-		return slices.Collect(maps.Values(c.state)), Position{c.era, c.revision}, nil
+		state, p.At = c.state, Position{c.era, c.revision}
 	}
-	return slices.Collect(maps.Values(s.state)), Position{s.era, s.revision}, nil
+	if s.unavailable {
+		return Page{}, errStoreUnavailable
+	}
+	for _, key := range slices.Sorted(maps.Keys(state)) {
+		if key <= after {
+			continue
+		}
+		if len(p.Changes) == s.pageItems {
+			p.HasMore = true
+			break
+		}
+		p.Changes = append(p.Changes, state[key])
+	}
+	return p, nil
 }
 
 func (s *fakeStore) Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
@@ -165,6 +194,9 @@
 	return uint64(len(s.state["tree"].Value)), s.state["tree"].Value, nil
 }
 
+// treeValue returns the settings tree.
+func (s *fakeStore) treeValue() []byte { return append(s.state["tree"].Value, s.state[firstTreeKey].Value...) }
+
 // treesIn returns 1 if changes hold a settings tree, else 0.
 func treesIn(changes []Change) int {
 	for _, c := range changes {
@@ -416,7 +448,7 @@
 		if !maps.Equal(want, f.lists[i]) {
 			return errors.Errorf("entry %d lists %v, the store has %v", i, f.lists[i], want)
 		}
-		if tree := uint64(len(f.store.state["tree"].Value)); f.trees[i] != tree {
+		if tree := uint64(len(f.store.treeValue())); f.trees[i] != tree {
 			return errors.Errorf("entry %d has tree version %d, the store has %d", i, f.trees[i], tree)
 		}
 	}
@@ -452,11 +484,11 @@
 	return ctx.Err()
 }
 
-func (s entryStore) Snapshot(ctx context.Context, stale bool) ([]Change, Position, error) {
+func (s entryStore) Page(ctx context.Context, after string, stale bool) (Page, error) {
 	if s.f.isDisconnected(s.entry) {
-		return nil, Position{}, s.hang(ctx)
+		return Page{}, s.hang(ctx)
 	}
-	return s.fakeStore.Snapshot(ctx, stale)
+	return s.fakeStore.Page(ctx, after, stale)
 }
 
 func (s entryStore) Ping(ctx context.Context) (uint64, error) {
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -67,25 +67,28 @@
 	return true
 }
 
-// loadFromStore reads a stale snapshot and then the changes since, which makes
-// the state exact. If the changes are not available, also because the snapshot is of
-// an earlier era, it reads a current snapshot.
+// loadFromStore reads all pages, mostly stale ones, and then the changes since, which
+// makes the state exact. If the changes are not available, also because a page is of an
+// earlier era, it reads current pages.
 func (r *Reader) loadFromStore() (Position, error) {
-	snapshot, at, err := r.options.Store.Snapshot(r.ctx, true)
-	var changesSince []Change
-	if err == nil {
-		changesSince, at, err = r.changesSince(at)
+	s, err := r.readStalePages()
+	at := s.at
+	if err == nil && !s.isExact() {
+		var changesSince []Change
+		changesSince, at, err = r.changesSince(s.at)
+		s.changes = append(s.changes, changesSince...)
 	}
 	if errors.Is(err, ErrHistoryLost) {
-		changesSince = nil
-		snapshot, at, err = r.options.Store.Snapshot(r.ctx, false)
+		s = snapshot{}
+		err = r.readPages(&s, false)
+		at = s.at
 	}
 	if r.recordStoreResult(err) != nil {
 		return r.loadLastKnown(err)
 	}
 	now := time.Now()
 	r.lastUpdate.Store(now.UnixNano())
-	r.replace(append(snapshot, changesSince...), at, at, now)
+	r.replace(s.changes, at, at, now)
 	return at, nil
 }
 
--- a/pkg/feed/registrations_test.go
+++ b/pkg/feed/registrations_test.go
@@ -15,9 +15,12 @@
 // and the version of a settings tree is the length of its value.
 type textStub struct{}
 
+// firstTreeKey is a key of a settings tree that precedes all registrations.
+const firstTreeKey = "config"
+
 func (textStub) Kind(key string) Kind {
 	switch {
-	case key == "tree":
+	case key == "tree", key == firstTreeKey:
 		return Tree
 	case strings.HasPrefix(key, "server/"):
 		return Registration
--- /dev/null
+++ b/pkg/feed/start_test.go
@@ -0,0 +1,96 @@
+package feed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// startTarget is the time after which a fleet that starts at once must serve.
+	startTarget = time.Second
+	// startShare is the share of the fleet that must serve then.
+	startShare = 0.9
+	// storeLinkBytesPerSecond is the bandwidth of the platform's store, 1,000 Mbit/s.
+	storeLinkBytesPerSecond = 1000e6 / 8
+	// registrationBytes is the size of a registration on the wire.
+	registrationBytes = 500
+)
+
+// relaysAfterDiscovery is rankByNumber after the time in which entries that start at once
+// discover each other; before it, no entry knows a relay.
+func relaysAfterDiscovery() func(int, func(string) bool) ([]string, bool) {
+	start := time.Now()
+	return func(own int, skip func(string) bool) ([]string, bool) {
+		if time.Since(start) < discoveryTime {
+			return nil, false
+		}
+		return rankByNumber(own, skip)
+	}
+}
+
+// servingEntries returns the number of entries that have a settings tree and know backend
+// servers, and how many of them list the backend server that most of them list.
+func (f *fleet) servingEntries() (n, busiest int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	listed := map[string]int{}
+	for i, list := range f.lists {
+		if f.trees[i] == 0 || len(list) == 0 {
+			continue
+		}
+		n++
+		for name := range list {
+			listed[name]++
+			busiest = max(busiest, listed[name])
+		}
+	}
+	return n, busiest
+}
+
+// Guards against a fleet that serves late after all entries have started at once, because
+// each of them first reads all pages of the store over one link, and against first requests
+// that all go to the few backend servers of the same page.
+func TestWholeFleetStartsAtOnce(t *testing.T) {
+	for _, tt := range []struct {
+		desc             string
+		entries, servers int
+		pageDelay        time.Duration
+		// maxListed is the share of the entries that may list the same backend server
+		// while they read pages; 1: one page holds all.
+		maxListed float64
+	}{
+		{"19 entries", 19, 41, 10 * time.Millisecond, 1},
+		{"107 entries", 107, 191, 50 * time.Millisecond, 0.9},
+		{"472 entries", 472, 1081, 10 * time.Millisecond, 0.5},
+		{"472 entries, slow store", 472, 1081, 200 * time.Millisecond, 0.5},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				store.pageItems, store.pageDelay, store.link = 50, tt.pageDelay, &link{bytesPerSecond: storeLinkBytesPerSecond}
+				store.put(firstTreeKey, "tree")
+				random := rand.New(rand.NewPCG(1, 0))
+				for range tt.servers {
+					store.put(fmt.Sprintf("server/i-%08x", random.Uint32()), "stock "+strings.Repeat("x", registrationBytes))
+				}
+				f := newFleetOn(store, tt.entries, false, relaysAfterDiscovery())
+				defer f.close()
+				n, busiest := 0, 0
+				for start := time.Now(); float64(n) < startShare*float64(tt.entries); {
+					require.Less(t, time.Since(start), startTarget)
+					time.Sleep(startTarget / 100)
+					n, busiest = f.servingEntries()
+				}
+				require.LessOrEqual(t, float64(busiest), tt.maxListed*float64(n))
+				time.Sleep(10 * time.Second)
+				require.NoError(t, f.checkConverged())
+			})
+		})
+	}
+}
