Let requests wait for the start of their instance

Cause: a request to an instance that was starting was refused after 0.1 s. The load balancer sends requests to such instances only if all others of the failure domain start too, and callers retry once: after a power failure they were turned away for the want of some 0.3 s. The first use of the tree's schema, 14 ms of a core, came after the tree had arrived, 0.15 s on 0.16 of a core.

Change: until an instance has been ready once, a request waits up to half of its caller's time, at most 2 s. Later the wait is 0.1 s, as before. The schema is compiled while the tree is awaited.

--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -21,6 +21,10 @@
 
 var treeSchema = schema.New("tree.json", schemaText)
 
+// CompileSchema does the work that the first use of the schema would do otherwise. It
+// takes longer than parsing a small tree, and can be done while the tree is awaited.
+func CompileSchema() { treeSchema.Compile() }
+
 // OriginBuiltIn is the origin of a value that no node of the tree states.
 const OriginBuiltIn = "built-in"
 
--- a/pkg/config/schema/schema.go
+++ b/pkg/config/schema/schema.go
@@ -76,6 +76,9 @@
 	return compiler.MustCompile(uri)
 }
 
+// Compile compiles the schema, unless that was done before.
+func (s *Schema) Compile() { s.compile() }
+
 // Check parses and validates text and returns the document. The error is an
 // *Error if the document breaks the schema or repeats a member.
 func (s *Schema) Check(text []byte) (any, error) {
--- a/pkg/entry/run.go
+++ b/pkg/entry/run.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
@@ -45,6 +46,7 @@
 		group.Go(func() error { return ignoreServerClosed(readinessSrv.Serve(listeners.Ready)) })
 	}
 	var loops sync.WaitGroup
+	loops.Go(dynamic.CompileSchema)
 	loops.Go(func() { e.membershipRunner.Run(workCtx) })
 	loops.Go(func() { e.gateway.Run(workCtx) })
 	loops.Go(func() { e.publishPhase(workCtx) })
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,6 +102,7 @@
 	hasList    atomic.Bool   // an instance list was received
 	normal     atomic.Uint64 // requests that completed normally
 	drain      drainState
+	wasReady   atomic.Bool // since the start
 	inFlight   atomic.Int64
 	background taskTracker
 
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -52,22 +52,31 @@
 
 const (
 	// readinessTimeout is how long a request waits for the settings before it
-	// is refused. An instance that starts or was paused gets its settings
-	// within 100 ms, and the caller of a refused request may not be able to
-	// retry.
+	// is refused. An instance that was paused gets its settings within 100 ms, and the
+	// caller of a refused request may not be able to retry.
 	readinessTimeout      = 100 * time.Millisecond
 	readinessPollInterval = 10 * time.Millisecond
+	// startTimeout is the same for an instance that has not been ready since its start.
+	// The load balancer sends requests to such an instance only if all others of its
+	// failure domain start too, so that a refused request would find no better place.
+	startTimeout = 2 * time.Second
+	// startWaitShare is the share of the caller's time that a request waits for the
+	// start: the rest is left to serve it, or for the caller to turn elsewhere.
+	startWaitShare = 0.5
 )
 
-// waitUntilReady waits at most readinessTimeout until requests may be served. It
-// returns false and the reason if that time has passed or the caller has
-// disconnected. The settings that apply to the request are those in force when
-// it returns.
+// waitUntilReady waits until requests may be served. It returns false and the reason if
+// the instance is not ready in time or the caller has disconnected. The settings that
+// apply to the request are those in force when it returns.
 func (c *call) waitUntilReady() (ok bool, reason string) {
-	end := time.Now().Add(readinessTimeout)
+	end := time.Now().Add(c.readinessWait())
 	for {
-		if ok, reason = c.g.readiness(c.activeSnapshot); ok || !time.Now().Before(end) {
-			return ok, reason
+		if ok, reason = c.g.readiness(c.activeSnapshot); ok {
+			c.g.wasReady.Store(true)
+			return true, ""
+		}
+		if !time.Now().Before(end) {
+			return false, reason
 		}
 		select {
 		case <-c.r.Context().Done():
@@ -79,6 +88,18 @@
 	}
 }
 
+// readinessWait returns how long the request waits for the instance to be ready.
+func (c *call) readinessWait() time.Duration {
+	if c.g.wasReady.Load() {
+		return readinessTimeout
+	}
+	wait := startTimeout
+	if ms, err := strconv.ParseUint(c.r.Header.Get(c.config.timeout), 10, 31); err == nil {
+		wait = min(wait, time.Duration(startWaitShare*float64(ms)*float64(time.Millisecond)))
+	}
+	return max(wait, readinessTimeout)
+}
+
 // findService finds the route and the service of the request. If the settings
 // define no routes, the first path segment is the name of the service.
 func (c *call) findService() (result, bool) {
