Send the full state of the store to peers compressed and one after another

Cause: an entry without state requested everything from its relay within 0.3 s. 1,081 registrations are some 0.3 MB: for the 94 entries of a failure domain a link of 20 Mbit/s takes over 10 s. All requests failed, the relay counted as failed for 15 s, and every entry read all pages itself and then polled the store.

Change: a peer that understands it gets the full state compressed, from a cache of one second; older builds get it as before, and send nothing that newer ones do not know. The request has 5 s, after a short one that shows that the relay answers. At the first start the requests are spread by the number of instances. At any other start an entry that serves from its first pages waits up to 0.5 s for a relay before it reads the rest from the store.

--- a/pkg/entry/changes.go
+++ b/pkg/entry/changes.go
@@ -21,6 +21,7 @@
 func (c changesClient) Changes(ctx context.Context, address string, request feed.PeerRequest) (feed.PeerReply, error) {
 	resp, err := c.e.peerClient.Changes(ctx, address, &peerpb.ChangesRequest{
 		After: request.After.Revision, Era: request.After.Era, UnknownTree: request.UnknownTree, WaitMs: uint32(request.Wait.Milliseconds()),
+		AcceptsCompressed: true,
 	})
 	if err != nil {
 		return feed.PeerReply{}, err
@@ -34,6 +35,11 @@
 	default:
 		return feed.PeerReply{}, errors.Wrap(errUnknownChangesState, resp.State.String())
 	}
+	if len(resp.CompressedChanges) > 0 {
+		if resp.Changes, err = decompressChanges(resp.CompressedChanges); err != nil {
+			return feed.PeerReply{}, err
+		}
+	}
 	reply := feed.PeerReply{At: feed.Position{Era: resp.Era, Revision: resp.Revision}}
 	if reply.TreesAt = reply.At; resp.TreesRevision > 0 {
 		reply.TreesAt.Revision = resp.TreesRevision
@@ -51,9 +57,18 @@
 	if s.e.feed == nil {
 		return &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_NOT_READER}, nil
 	}
-	reply, err := s.e.feed.Serve(ctx, feed.PeerRequest{
+	request := feed.PeerRequest{
 		After: feed.Position{Era: req.Era, Revision: req.After}, UnknownTree: req.UnknownTree, Wait: time.Duration(req.WaitMs) * time.Millisecond,
-	})
+	}
+	if request.After == (feed.Position{}) && req.AcceptsCompressed {
+		return s.e.fullState.response(time.Now(), func() (*peerpb.ChangesResponse, error) { return s.changes(ctx, request) })
+	}
+	return s.changes(ctx, request)
+}
+
+// changes returns the response to a request of a peer, uncompressed.
+func (s peerServer) changes(ctx context.Context, request feed.PeerRequest) (*peerpb.ChangesResponse, error) {
+	reply, err := s.e.feed.Serve(ctx, request)
 	switch {
 	case errors.Is(err, feed.ErrNotReader):
 		return &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_NOT_READER}, nil
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -38,6 +38,7 @@
 	permitIssuer     *ratelimit.Issuer
 	gateway          *gateway.Gateway
 	leaving          atomic.Bool
+	fullState        fullState
 
 	incarnation uint64 // random number that identifies this run of the process
 }
@@ -64,6 +65,7 @@
 		e.feed = feed.NewReader(feed.Options{
 			Store: store, Translator: translator, Recorder: e.recorder, PeerClient: changesClient{e},
 			Relays:     func(skip func(string) bool) ([]string, bool) { return e.memberTable.Readers(feed.Readers, skip) },
+			Instances:  func() int { return e.memberTable.LiveInstances() },
 			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
 		})
 		return e.feed
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,13 +19,17 @@
 		return
 	}
 	if _, ok := r.chooseRelay(time.Now()); ok {
-		clock.Sleep(r.ctx, readerLoadTime)
+		spread := min(maxLoadSpread, time.Duration(r.options.Instances())*loadSpread)
+		clock.Sleep(r.ctx, readerLoadTime+rand.N(max(spread, 1)))
 	}
 }
 
 // load brings the state up to date from a relay or, if that is not possible, from
 // a snapshot of the store. It returns the position to continue from.
 func (r *Reader) load() (Position, error) {
+	if r.log.lastPosition() == (Position{}) && !r.options.FirstStart {
+		return r.loadAtStart()
+	}
 	if address, ok := r.chooseRelay(time.Now()); ok {
 		if at, err := r.loadFromRelay(address); err == nil {
 			return at, nil
@@ -33,22 +38,52 @@
 	return r.loadFromStore()
 }
 
+// loadAtStart loads the first pages of the store, and the rest from a relay that was
+// discovered meanwhile or, without one, from the store too.
+func (r *Reader) loadAtStart() (Position, error) {
+	var s snapshot
+	if err := r.readFirstPages(&s); err != nil {
+		return r.finishLoad(s, err)
+	}
+	if s.hasMore {
+		if address, ok := r.discoverRelay(); ok {
+			if at, err := r.loadFromRelay(address); err == nil {
+				return at, nil
+			}
+		}
+	}
+	return r.finishLoad(s, nil)
+}
+
+// discoverRelay waits up to discoveryTime until a relay is known.
+func (r *Reader) discoverRelay() (address string, ok bool) {
+	for end := time.Now().Add(discoveryTime); ; {
+		if address, ok = r.chooseRelay(time.Now()); ok || !time.Now().Before(end) || !clock.Sleep(r.ctx, relayDiscoveryInterval) {
+			return address, ok
+		}
+	}
+}
+
 // loadFromRelay continues from this entry's last position if the relay still has
 // the changes since, and replaces the full state otherwise. It fails if the relay
 // is not in contact with the store.
 func (r *Reader) loadFromRelay(address string) (Position, error) {
-	if last := r.log.lastPosition(); last != (Position{}) {
-		_, err := r.changesFromRelay(address, last, time.Millisecond)
-		if err == nil || !errors.Is(err, ErrHistoryLost) {
-			return last, err
-		}
+	last := r.log.lastPosition()
+	// Without a state, the request shows whether the relay answers at all: the full
+	// state may take long.
+	_, err := r.changesFromRelay(address, latest(last, Position{Revision: 1}), time.Millisecond)
+	switch {
+	case err != nil && !errors.Is(err, ErrHistoryLost):
+		return Position{}, err
+	case err == nil && last != (Position{}):
+		return last, nil
 	}
-	state, err := r.changesFromRelay(address, Position{}, 0)
+	state, err := r.requestFromRelay(address, Position{}, 0, relayLoadTimeout)
 	var since PeerReply
 	if err == nil {
 		// Unlike a request for the full state, a request for changes succeeds
 		// only if the relay is in contact with the store.
-		since, err = r.changesFromRelay(address, state.At, time.Millisecond)
+		since, err = r.requestFromRelay(address, state.At, time.Millisecond, relayLoadTimeout)
 	}
 	if err == nil && !r.replaceIfNewer(append(state.Changes, since.Changes...), since.At, since.TreesAt) {
 		err = ErrHistoryLost
@@ -70,8 +105,14 @@
 // loadFromStore reads all pages, mostly stale ones, and then the changes since, which
 // makes the state exact. If the changes are not available, also because a page is of an
 // earlier era, it reads current pages.
-func (r *Reader) loadFromStore() (Position, error) {
-	s, err := r.readStalePages()
+func (r *Reader) loadFromStore() (Position, error) { return r.finishLoad(snapshot{}, nil) }
+
+// finishLoad is loadFromStore for an entry that has read the pages of s, or has failed to
+// read them.
+func (r *Reader) finishLoad(s snapshot, err error) (Position, error) {
+	if err == nil {
+		err = r.readPages(&s, true)
+	}
 	at := s.at
 	if err == nil && !s.isExact() {
 		var changesSince []Change
@@ -106,7 +147,7 @@
 	if !ok || r.log.lastPosition() != (Position{}) || r.ctx.Err() != nil {
 		return Position{}, cause
 	}
-	state, err := r.changesFromRelay(address, Position{}, 0)
+	state, err := r.requestFromRelay(address, Position{}, 0, relayLoadTimeout)
 	if err != nil || !r.replaceIfNewer(state.Changes, state.At, state.TreesAt) {
 		return Position{}, cause
 	}
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -52,6 +52,17 @@
 	// needs to load everything.
 	discoveryTime  = 500 * time.Millisecond
 	readerLoadTime = 300 * time.Millisecond
+	// relayDiscoveryInterval is how often an entry that starts looks for a relay.
+	relayDiscoveryInterval = 50 * time.Millisecond
+	// relayLoadTimeout bounds the request for the full state to a relay. All entries of
+	// a failure domain may request it at once at the first start: a relay with a link
+	// of 20 Mbit/s then sends it for about 3 s.
+	relayLoadTimeout = 5 * time.Second
+	// loadSpread and maxLoadSpread spread the requests for the full state at the first
+	// start, in proportion to the number of instances, so that they do not delay the
+	// other replies of the relay on its link.
+	loadSpread    = 10 * time.Millisecond
+	maxLoadSpread = 3 * time.Second
 	// minRetryDelay and maxRetryDelay bound the random delay after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
@@ -79,7 +90,8 @@
 // by their address.
 const sourceStore = "store"
 
-// Options of a Reader. Store, Translator and Recorder are required.
+// Options of a Reader. Store, Translator, Recorder and, with FirstStart, Instances are
+// required.
 type Options struct {
 	Store      Store
 	Translator Translator
@@ -89,6 +101,8 @@
 	// failure domain, and whether this entry is one of them. Addresses for which
 	// skip returns true are left out. nil: every entry reads the store.
 	Relays func(skip func(address string) bool) (addresses []string, isReader bool)
+	// Instances returns the number of known instances, this one included.
+	Instances func() int
 	// FirstStart states that all entries are starting now, before the first
 	// caller connects.
 	FirstStart bool
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -27,7 +27,12 @@
 // changesFromRelay requests the changes after a position from a relay. The relay
 // waits up to wait for a change. A relay that fails is not used for some time.
 func (r *Reader) changesFromRelay(address string, after Position, wait time.Duration) (PeerReply, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, wait+relayPollMargin)
+	return r.requestFromRelay(address, after, wait, wait+relayPollMargin)
+}
+
+// requestFromRelay is changesFromRelay with another timeout.
+func (r *Reader) requestFromRelay(address string, after Position, wait, timeout time.Duration) (PeerReply, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	reply, err := r.options.PeerClient.Changes(ctx, address, PeerRequest{
 		After: after, UnknownTree: r.knownTree() + 1, Wait: r.backends.limitWait(time.Now(), wait),
--- a/pkg/feed/snapshot.go
+++ b/pkg/feed/snapshot.go
@@ -68,20 +68,10 @@
 	return nil
 }
 
-// readStalePages reads all pages. An entry without any state reads the first one, which
-// holds the settings tree, currently, and publishes it together with pages from random
-// places: on a large deployment, all pages take more than a second when all entries start
-// at once, and a few backend servers are enough to serve the first requests.
-func (r *Reader) readStalePages() (snapshot, error) {
-	var s snapshot
-	if r.log.lastPosition() == (Position{}) {
-		if err := r.readFirstPages(&s); err != nil {
-			return s, err
-		}
-	}
-	return s, r.readPages(&s, true)
-}
-
+// readFirstPages reads the first page currently, because it holds the settings tree, and
+// stale pages from random places, and publishes the tree and the backend servers of those:
+// on a large deployment, all pages take more than a second when all entries start at once,
+// and a few backend servers are enough to serve the first requests.
 func (r *Reader) readFirstPages(s *snapshot) error {
 	if err := r.readNextPage(s, false); err != nil || !s.hasMore {
 		return err
