Count the calls to the platform's store by reason

Cause: every call is priced, and neither logs nor metrics showed whether calls come from starts, reloads, polls of readers, failed relays or pings.

Change: metric store_calls with the label reason, and event 2121 with the same numbers every 10 s.

Measured: TestCallsAreCounted compares the counts with the calls that a store received while a fleet starts, its relay freezes and the history is lost.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -64,7 +64,10 @@
 	return newEntry(conf, log, func(e *Entry) Platform {
 		e.feed = feed.NewReader(feed.Options{
 			Store: store, Translator: translator, Recorder: e.recorder, PeerClient: changesClient{e},
-			Relays:     func(skip func(string) bool) ([]string, bool) { return e.memberTable.Readers(feed.Readers, skip) },
+			Relays: func(skip func(string) bool) ([]string, bool) { return e.memberTable.Readers(feed.Readers, skip) },
+			CountCall: func(reason feed.CallReason) {
+				e.metrics.Scope.Tagged(map[string]string{"reason": reason.String()}).Counter("store_calls").Inc(1)
+			},
 			Instances:  func() int { return e.memberTable.LiveInstances() },
 			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
 		})
--- a/pkg/feed/events.go
+++ b/pkg/feed/events.go
@@ -18,5 +18,6 @@
 	eventRegistrationsHeld     = events.New(2117, logrus.InfoLevel, "registrations_held", "most registrations of a service vanished while calls to the store failed; the backend servers stay listed for some time")
 	eventTreeReadFailed        = events.New(2118, logrus.WarnLevel, "announced_tree_read_failed", "a settings tree that a relay has announced could not be read from the store; the read is repeated unless a peer delivers the tree")
 	eventStoreRestored         = events.NewChange(2119, logrus.WarnLevel, "store_restored", "the platform's store was restored from an older copy; the full state is read again, settings in force are kept")
+	eventCalls                 = events.New(2121, logrus.InfoLevel, "store_calls", "number of calls to the platform's store since the start, by reason")
 	eventRegistrationsWithheld = events.New(2120, logrus.InfoLevel, "registrations_withheld", "a restored store lists backend servers that have left since the copy; they are not used for some time")
 )
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -135,6 +135,7 @@
 func (r *Reader) pollStore(pollCtx context.Context, after Position) (poll, error) {
 	r.pollsStore.Store(true)
 	wait := storePollWait/2 + rand.N(storePollWait/2)
+	r.countCall(r.pollReason())
 	changes, next, err := r.options.Store.Changes(pollCtx, earliest(after, r.treesAt), r.backends.limitWait(time.Now(), wait))
 	if err = r.recordPollResult(pollCtx, err); err != nil {
 		return poll{}, err
@@ -150,6 +151,7 @@
 // settings tree in each reply would occupy their links.
 func (r *Reader) pollRegistrations(pollCtx context.Context, after Position, wait time.Duration) (poll, error) {
 	r.pollsStore.Store(true)
+	r.countCall(CallFallback)
 	changes, next, err := r.options.Store.RegistrationChanges(pollCtx, after, r.backends.limitWait(time.Now(), wait))
 	if err = r.recordPollResult(pollCtx, err); err != nil {
 		return poll{}, err
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -136,6 +136,7 @@
 // changesSince reads the changes after the position of a stale snapshot without
 // waiting for further ones.
 func (r *Reader) changesSince(after Position) ([]Change, Position, error) {
+	r.countCall(r.loadReason())
 	changes, next, err := r.options.Store.Changes(r.ctx, after, time.Millisecond)
 	return changes, latest(after, next), err
 }
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -103,6 +103,8 @@
 	Relays func(skip func(address string) bool) (addresses []string, isReader bool)
 	// Instances returns the number of known instances, this one included.
 	Instances func() int
+	// CountCall is called for each call to the store; nil: it is not.
+	CountCall func(CallReason)
 	// FirstStart states that all entries are starting now, before the first
 	// caller connects.
 	FirstStart bool
@@ -134,6 +136,7 @@
 	announced       chan struct{}           // has a buffer of one; receives when a relay announces a tree
 	received        chan struct{}           // has a buffer of one; receives when receivedTree is set
 	decodeMu        sync.Mutex              // serializes the decoding of trees
+	calls           callCounts
 
 	mu            sync.Mutex
 	changed       chan struct{} // closed and replaced at each publication
@@ -203,6 +206,7 @@
 // and text. If reads are linearizable, this confirms the version. The error is
 // platform.ErrUnchanged if there is no version above after, or that of the store.
 func (r *Reader) ReadTree(ctx context.Context, after uint64) (uint64, []byte, error) {
+	r.countCall(CallConfirmation)
 	version, text, err := r.options.Store.Tree(ctx)
 	if err != nil {
 		clock.Sleep(ctx, minRetryDelay)
@@ -220,6 +224,7 @@
 	r.startOnce.Do(func() {
 		r.loops.Go(r.run)
 		r.loops.Go(r.pingLoop)
+		r.loops.Go(r.reportCalls)
 		r.loops.Go(r.decodeReceivedTrees)
 		r.loops.Go(r.fetchAnnouncedTrees)
 	})
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -277,6 +277,7 @@
 func (r *Reader) pingStore() bool {
 	ctx, cancel := context.WithTimeout(r.ctx, pingTimeout)
 	defer cancel()
+	r.countCall(CallPing)
 	era, err := r.options.Store.Ping(ctx)
 	if err == nil && era > r.log.lastPosition().Era {
 		r.log.stopFollowing()
--- a/pkg/feed/snapshot.go
+++ b/pkg/feed/snapshot.go
@@ -40,6 +40,7 @@
 
 // readPage adds the page after a key.
 func (r *Reader) readPage(s *snapshot, after string, stale bool) (Page, error) {
+	r.countCall(r.loadReason())
 	p, err := r.options.Store.Page(r.ctx, after, stale)
 	if err != nil {
 		return Page{}, err
--- a/pkg/feed/start_test.go
+++ b/pkg/feed/start_test.go
@@ -120,3 +120,33 @@
 		store.locked(func() { require.LessOrEqual(t, store.pageCalls, servers/pageItems+1) })
 	})
 }
+
+// Guards against calls to the store that no counter shows.
+func TestCallsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.pageItems = 3
+		store.put(firstTreeKey, "tree")
+		store.putRegistrations(20)
+		f := newFleetOn(store, 5, false, relaysAfterDiscovery())
+		time.Sleep(3 * time.Second)
+		f.setFrozen(0, true)
+		store.put("server/new", "stock 1")
+		store.compact()
+		time.Sleep(10 * time.Second)
+		f.close()
+		counted := map[string]uint64{}
+		total := 0
+		for _, r := range f.readers {
+			for reason := range callReasons {
+				n := r.calls[reason].Load()
+				counted[reason.String()] += n
+				total += int(n)
+			}
+		}
+		require.Equal(t, store.pageCalls+store.changesCalls+store.pings+store.treeCalls, total)
+		for _, reason := range []CallReason{CallStart, CallReload, CallPoll, CallFallback, CallPing} {
+			require.NotZero(t, counted[reason.String()], reason.String())
+		}
+	})
+}
--- a/pkg/feed/trees.go
+++ b/pkg/feed/trees.go
@@ -156,6 +156,7 @@
 // fetchTree reads and publishes the settings tree of the store and reports
 // whether the store answered.
 func (r *Reader) fetchTree() bool {
+	r.countCall(CallTree)
 	version, text, err := r.options.Store.Tree(r.ctx)
 	if err == nil {
 		r.publishTree(version, text)
