Ask a relay again at the first start instead of reading the store

The relay is chosen 0.5 s after the start, when the entries do not know each other yet.

Change: at the first start nobody is served, so an entry waits 1 s for discovery and then repeats its request for up to 3 s; the request itself tells the relay that it is one.

--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -15,7 +15,7 @@
 // everything. Otherwise all entries would read the store, because none knows a
 // reader yet.
 func (r *Reader) waitForReader() {
-	if !clock.Sleep(r.ctx, discoveryTime) {
+	if !clock.Sleep(r.ctx, firstDiscoveryTime) {
 		return
 	}
 	if _, ok := r.chooseRelay(time.Now()); ok {
@@ -27,7 +27,11 @@
 // load brings the state up to date from a relay or, if that is not possible, from
 // a snapshot of the store. It returns the position to continue from.
 func (r *Reader) load() (Position, error) {
-	if r.log.lastPosition() == (Position{}) && !r.options.FirstStart {
+	switch {
+	case r.log.lastPosition() != (Position{}):
+	case r.options.FirstStart:
+		return r.loadAtFirstStart()
+	default:
 		return r.loadAtStart()
 	}
 	if address, ok := r.chooseRelay(time.Now()); ok {
@@ -38,6 +42,26 @@
 	return r.loadFromStore()
 }
 
+// loadAtFirstStart loads everything from a relay. Entries discover each other by and by,
+// so that the first one by rank may not know yet that it is the reader; the request tells
+// it. Only after firstLoadTimeout, or if the relay fails, is the store read.
+func (r *Reader) loadAtFirstStart() (Position, error) {
+	for end := time.Now().Add(firstLoadTimeout); time.Now().Before(end); {
+		address, ok := r.chooseRelay(time.Now())
+		if !ok {
+			break
+		}
+		at, err := r.loadFromRelay(address)
+		if err == nil {
+			return at, nil
+		}
+		if !errors.Is(err, ErrNotReader) || !clock.Sleep(r.ctx, firstLoadRetryDelay) {
+			break
+		}
+	}
+	return r.loadFromStore()
+}
+
 // loadAtStart loads the first pages of the store, and the rest from a relay that was
 // discovered meanwhile or, without one, from the store too.
 func (r *Reader) loadAtStart() (Position, error) {
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -47,11 +47,18 @@
 	// for the others. If a reader fails, the entry next in rank takes over; until
 	// then each of the other entries reads the store itself.
 	Readers = 1
-	// discoveryTime is the time that entries which all start at once need to
-	// discover each other, and readerLoadTime the time that the reader then
-	// needs to load everything.
-	discoveryTime  = 500 * time.Millisecond
-	readerLoadTime = 300 * time.Millisecond
+	// firstDiscoveryTime is the time that all entries need at the first start to
+	// discover each other, and readerLoadTime the time that the reader then needs to
+	// load everything. firstLoadTimeout is the time after which an entry reads the store
+	// itself, and firstLoadRetryDelay the time between two requests to a relay that
+	// does not read the store yet.
+	firstDiscoveryTime  = time.Second
+	readerLoadTime      = 500 * time.Millisecond
+	firstLoadTimeout    = 3 * time.Second
+	firstLoadRetryDelay = 200 * time.Millisecond
+	// discoveryTime is how long an entry that starts later, and serves already from the
+	// first pages of the store, waits until it has discovered a relay.
+	discoveryTime = 500 * time.Millisecond
 	// relayDiscoveryInterval is how often an entry that starts looks for a relay.
 	relayDiscoveryInterval = 50 * time.Millisecond
 	// relayLoadTimeout bounds the request for the full state to a relay. All entries of
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -38,7 +38,11 @@
 		After: after, UnknownTree: r.knownTree() + 1, Wait: r.backends.limitWait(time.Now(), wait),
 	})
 	if err != nil && r.ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
-		r.backOff(address, errors.Is(err, ErrNotReader))
+		isNotReader := errors.Is(err, ErrNotReader)
+		if isNotReader && r.options.FirstStart && r.log.lastPosition() == (Position{}) {
+			return reply, err // it is about to start reading; see loadAtFirstStart
+		}
+		r.backOff(address, isNotReader)
 		r.options.Recorder.Record(eventRelayAvoided, events.F("address", address), events.F("error", err.Error()))
 	}
 	return reply, err
