Keep the relay of the start until entries agree on their ranks

Cause: an entry that had loaded from one relay polled another one as soon as it discovered an entry of lower rank. That one did not read the store yet: the entry polled the store, and its request made one more reader.

Change: a relay that delivered the full state is kept for 10 s unless it fails.

--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -112,6 +112,9 @@
 	if err == nil && !r.replaceIfNewer(append(state.Changes, since.Changes...), since.At, since.TreesAt) {
 		err = ErrHistoryLost
 	}
+	if err == nil {
+		r.keepRelay(address)
+	}
 	return since.At, err
 }
 
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -65,6 +65,9 @@
 	// a failure domain may request it at once at the first start: a relay with a link
 	// of 20 Mbit/s then sends it for about 3 s.
 	relayLoadTimeout = 5 * time.Second
+	// keepRelayTime is the time in which entries that start at once agree on their
+	// ranks.
+	keepRelayTime = 10 * time.Second
 	// loadSpread and maxLoadSpread spread the requests for the full state at the first
 	// start, in proportion to the number of instances, so that they do not delay the
 	// other replies of the relay on its link.
@@ -134,15 +137,17 @@
 	lastUpdate      atomic.Int64 // last answer of the store or of a relay, Unix nanoseconds; 0: none
 	backends        registrations
 	relayBackoff    map[string]relayBackoff // failed relays, by address
-	lastFailure     time.Time               // time of the last failed call to the store
-	storeFailing    bool                    // whether calls to the store currently fail
-	hasLostRelay    bool                    // whether the relay has failed since the last poll that was not for registrations only
-	completeAt      time.Time               // end of the last poll that was not for registrations only
-	treesAt         Position                // up to which the settings trees are known, decoded or not
-	lastReplyLarge  bool                    // whether the store's last reply held a large settings tree
-	announced       chan struct{}           // has a buffer of one; receives when a relay announces a tree
-	received        chan struct{}           // has a buffer of one; receives when receivedTree is set
-	decodeMu        sync.Mutex              // serializes the decoding of trees
+	loadedFrom      string                  // the relay that delivered the full state last
+	keepRelayUntil  time.Time
+	lastFailure     time.Time     // time of the last failed call to the store
+	storeFailing    bool          // whether calls to the store currently fail
+	hasLostRelay    bool          // whether the relay has failed since the last poll that was not for registrations only
+	completeAt      time.Time     // end of the last poll that was not for registrations only
+	treesAt         Position      // up to which the settings trees are known, decoded or not
+	lastReplyLarge  bool          // whether the store's last reply held a large settings tree
+	announced       chan struct{} // has a buffer of one; receives when a relay announces a tree
+	received        chan struct{} // has a buffer of one; receives when receivedTree is set
+	decodeMu        sync.Mutex    // serializes the decoding of trees
 	calls           callCounts
 
 	mu            sync.Mutex
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -12,7 +12,9 @@
 
 // chooseRelay chooses a relay at random; false means that this entry reads the
 // store itself. An entry with recent requests from peers reads the store whatever
-// its rank, because these peers may not know the entry that ranks before it yet.
+// its rank, because these peers may not know the entry that ranks before it yet. For
+// some time after it has delivered the full state, a relay is kept: the first one by rank
+// changes while entries discover each other, and may not read the store yet.
 func (r *Reader) chooseRelay(now time.Time) (string, bool) {
 	if r.options.PeerClient == nil || r.options.Relays == nil || r.isServingPeers(now) {
 		return "", false
@@ -21,9 +23,17 @@
 	if isReader || len(addresses) == 0 {
 		return "", false
 	}
+	if kept := r.loadedFrom; now.Before(r.keepRelayUntil) && !now.Before(r.relayBackoff[kept].until) {
+		return kept, true
+	}
 	return addresses[rand.IntN(len(addresses))], true
 }
 
+// keepRelay makes chooseRelay return a relay for keepRelayTime.
+func (r *Reader) keepRelay(address string) {
+	r.loadedFrom, r.keepRelayUntil = address, time.Now().Add(keepRelayTime)
+}
+
 // changesFromRelay requests the changes after a position from a relay. The relay
 // waits up to wait for a change. A relay that fails is not used for some time.
 func (r *Reader) changesFromRelay(address string, after Position, wait time.Duration) (PeerReply, error) {
--- a/pkg/feed/start_test.go
+++ b/pkg/feed/start_test.go
@@ -112,6 +112,43 @@
 	}
 }
 
+// relaysWithoutAgreement returns Options.Relays of entries that do not agree on their ranks
+// for some seconds: most of them know one of four others by chance.
+func relaysWithoutAgreement() func(int, func(string) bool) ([]string, bool) {
+	start := time.Now()
+	return func(own int, skip func(string) bool) ([]string, bool) {
+		if time.Since(start) > keepRelayTime || own <= 4 {
+			return rankByNumber(own, skip)
+		}
+		var out []string
+		for i := range 4 {
+			if a := fmt.Sprint(i + 1); !skip(a) {
+				out = append(out, a)
+			}
+		}
+		return out[:min(len(out), 1+rand.N(2))], len(out) == 0
+	}
+}
+
+// Guards against entries that turn from the relay that they have loaded from to others,
+// which do not read the store, and poll the store each time.
+func TestRelayIsKeptAfterTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put(firstTreeKey, "tree")
+		store.putRegistrations(50)
+		f := newFleetOn(store, 40, true, relaysWithoutAgreement())
+		time.Sleep(firstDiscoveryTime + readerLoadTime + firstLoadTimeout + keepRelayTime)
+		defer f.close()
+		require.NoError(t, f.checkConverged())
+		fallbacks := uint64(0)
+		for _, r := range f.readers {
+			fallbacks += r.calls[CallFallback].Load()
+		}
+		require.LessOrEqual(t, fallbacks, uint64(len(f.readers)/10))
+	})
+}
+
 // Guards against a first start at which the entries of a failure domain read the store one
 // by one, because their relay cannot send them the full state in time, or because they ask
 // one that does not know yet that it is the relay.
