Share the listener inside a process between two packages' tests

Cause: package drain's tests repeated the listener of the gateway's fixture.

Change: standin/pipe has it, as it has the backend server inside a process.

--- a/pkg/drain/drain_test.go
+++ b/pkg/drain/drain_test.go
@@ -14,39 +14,14 @@
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"lentilpin/standin/pipe"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 const requestText = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
 
-// pipeListener accepts the connections that dial makes.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // hookedConn calls onRead after bytes were read and before they are passed on.
 type hookedConn struct {
 	net.Conn
@@ -80,18 +55,18 @@
 	synctest.Test(t, func(t *testing.T) {
 		var served, reads int
 		var s *Server
-		l := newPipeListener()
+		l := pipe.NewListener()
 		s = NewServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ })}, l)
 		var loop sync.WaitGroup
 		loop.Go(func() { require.NoError(t, s.Serve()) })
 		own, other := net.Pipe()
-		l.conns <- hookedConn{other, func() {
+		require.NoError(t, l.Connect(t.Context(), hookedConn{other, func() {
 			if reads++; reads == 2 {
 				for _, c := range s.listener.open() {
 					c.closeIfIdle(time.Now())
 				}
 			}
-		}}
+		}}))
 		require.True(t, roundTrip(own))
 		time.Sleep(idleWait)
 		require.False(t, roundTrip(own))
@@ -118,7 +93,7 @@
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := newPipeListener()
+				l := pipe.NewListener()
 				s := NewServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })}, l)
 				if tt.first {
 					s.http.Handler = http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
@@ -126,7 +101,7 @@
 				var loop sync.WaitGroup
 				loop.Go(func() { require.NoError(t, s.Serve()) })
 				own, other := net.Pipe()
-				l.conns <- other
+				require.NoError(t, l.Connect(t.Context(), other))
 				if tt.first {
 					require.True(t, roundTrip(own))
 				}
@@ -164,7 +139,7 @@
 			mu.Unlock()
 			_, _ = io.WriteString(w, "body")
 		})}
-		l := newPipeListener()
+		l := pipe.NewListener()
 		s := NewServer(h, l)
 		var loop, work sync.WaitGroup
 		loop.Go(func() { require.NoError(t, s.Serve()) })
@@ -173,9 +148,7 @@
 				time.Sleep(time.Duration(i) * time.Millisecond)
 				for end := time.Now().Add(span); time.Now().Before(end); {
 					own, other := net.Pipe()
-					select {
-					case l.conns <- other:
-					case <-l.closed:
+					if l.Connect(t.Context(), other) != nil {
 						return
 					}
 					for time.Now().Before(end) && roundTrip(own) {
@@ -215,12 +188,12 @@
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := newPipeListener()
+				l := pipe.NewListener()
 				s := NewServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(3 * time.Second) })}, l)
 				var loop sync.WaitGroup
 				loop.Go(func() { require.NoError(t, s.Serve()) })
 				own, other := net.Pipe()
-				l.conns <- other
+				require.NoError(t, l.Connect(t.Context(), other))
 				loop.Go(func() { _, _ = io.Copy(own, strings.NewReader(tt.text)) })
 				loop.Go(func() { _, _ = io.Copy(io.Discard, own) })
 				synctest.Wait()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -55,7 +55,7 @@
 	gateways          []*Gateway
 	owners            []*ledger.Owner
 	issuers           []*ratelimit.Issuer
-	peerListeners     []*pipeListener
+	peerListeners     []*pipe.Listener
 	peerConns         []net.Conn
 	handoffServers    []*drain.Server
 	backends          map[string]*pipe.Backend
@@ -105,7 +105,7 @@
 		require.Equal(t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
 		g.UpdateInstances(list)
 		f.loops.Go(func() { g.Run(ctx) })
-		listener := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		listener := pipe.NewListener()
 		server := NewHandoffServer(g, listener, static.Defaults().Limits)
 		f.loops.Go(func() { _ = server.Serve() })
 		f.peerListeners, f.handoffServers = append(f.peerListeners, listener), append(f.handoffServers, server)
@@ -127,29 +127,6 @@
 	f.loops.Wait()
 }
 
-// pipeListener accepts the connections that peers make to a gateway.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // dialPeer connects to the listener of a gateway for requests of peers. An address is the
 // index of the gateway.
 func (f *fixture) dialPeer(ctx context.Context, address string) (net.Conn, error) {
@@ -159,13 +136,7 @@
 	f.mu.Lock()
 	f.peerConns = append(f.peerConns, other)
 	f.mu.Unlock()
-	select {
-	case f.peerListeners[i].conns <- other:
-		return own, nil
-	case <-f.peerListeners[i].closed:
-	case <-ctx.Done():
-	}
-	return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	return own, f.peerListeners[i].Connect(ctx, other)
 }
 
 // breakPeerConns closes all connections between gateways.
