Load the rest of the state from a relay that starts too

Cause: when all entries started at once, each of them read the rest of the pages over the store's link, also the relays, which had something to give only after 1.8 s. An entry that the store refused tried it again every 0.1 to 0.8 s, asked its relay once each time, and turned to others by a backoff of one second.

Change: an entry that serves from its first pages waits up to 2 s for its relay. One that the store refuses asks the first three peers by rank in turn. A relay without state that starts is not avoided afterwards.

--- a/pkg/feed/doc.go
+++ b/pkg/feed/doc.go
@@ -30,8 +30,8 @@
 // and pages from two random places the entry already serves: when a large fleet starts at
 // once, all pages of all entries take longer over the store's link than callers wait. Until
 // the state is exact, a request may be sent to a backend server that has left; the identity
-// that each request states keeps others from running it. The rest comes from a relay if one
-// is discovered meanwhile. A relay sends the full state compressed (package entry); at the
+// that each request states keeps others from running it. The rest comes from a relay, which
+// may be starting too, or after two seconds from the store. A relay sends the full state compressed (package entry); at the
 // first start the entries request it one after another. An entry starts over after a lost history, a lost
 // answer or a failed call to the store. If the store is unreachable at the start,
 // a relay serves its last known state.
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -27,6 +27,7 @@
 	staleCopy       *storeCopy // what stale snapshots return; nil: the current content
 	changed         chan struct{}
 	unavailable     bool          // all calls but those of Tree fail
+	refusesThird    bool          // pages and changes are refused to each third entry
 	missesChanges   bool          // calls of Changes return no changes
 	pageItems       int           // on one page
 	pageDelay       time.Duration // of a reply with a page
@@ -497,6 +498,9 @@
 	if s.f.isDisconnected(s.entry) {
 		return Page{}, s.hang(ctx)
 	}
+	if s.refusesThird && s.entry%3 == 1 {
+		return Page{}, errStoreUnavailable
+	}
 	return s.fakeStore.Page(ctx, after, stale)
 }
 
@@ -520,6 +524,9 @@
 	defer s.f.setPolling(s.entry, false)
 	pollCtx, cancel := context.WithTimeout(ctx, wait+storeReplyMargin)
 	defer cancel()
+	if s.refusesThird && s.entry%3 == 1 {
+		return nil, Position{}, errStoreUnavailable
+	}
 	changes, next, err := changesOf(ctx, after, wait)
 	if s.f.isDisconnected(s.entry) {
 		return nil, Position{}, s.hang(ctx)
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -55,25 +55,33 @@
 		if err == nil {
 			return at, nil
 		}
-		if !errors.Is(err, ErrNotReader) || !clock.Sleep(r.ctx, firstLoadRetryDelay) {
+		if !errors.Is(err, ErrNotReader) || !clock.Sleep(r.ctx, loadRetryDelay) {
 			break
 		}
 	}
 	return r.loadFromStore()
 }
 
-// loadAtStart loads the first pages of the store, and the rest from a relay that was
-// discovered meanwhile or, without one, from the store too.
+// loadAtStart loads the first pages of the store, and the rest from a relay. The entry
+// serves meanwhile, so that it can wait for a relay that is starting too: if all entries
+// read the rest at once, they take longer than one relay. Without a relay, or after
+// startLoadTimeout, it reads the rest from the store.
 func (r *Reader) loadAtStart() (Position, error) {
 	var s snapshot
 	if err := r.readFirstPages(&s); err != nil {
 		return r.finishLoad(s, err)
 	}
-	if s.hasMore {
-		if address, ok := r.discoverRelay(); ok {
-			if at, err := r.loadFromRelay(address); err == nil {
-				return at, nil
-			}
+	for end := time.Now().Add(startLoadTimeout); s.hasMore && time.Now().Before(end); {
+		address, ok := r.discoverRelay()
+		if !ok {
+			break
+		}
+		at, err := r.loadFromRelay(address)
+		if err == nil {
+			return at, nil
+		}
+		if !errors.Is(err, ErrNotReader) || !clock.Sleep(r.ctx, loadRetryDelay+rand.N(loadRetryDelay)) {
+			break
 		}
 	}
 	return r.finishLoad(s, nil)
@@ -168,18 +176,30 @@
 	return changes, latest(after, next), err
 }
 
-// loadLastKnown loads the last known state of a relay, for an entry without any
-// state that starts while the store is unreachable. If that fails it returns cause.
+// loadLastKnown loads the last known state of a peer, for an entry without any state that
+// starts while the store is unreachable or refuses it. It asks the first lastKnownPeers by
+// rank in turn, because they may be starting or refused too. If that fails it returns
+// cause.
 func (r *Reader) loadLastKnown(cause error) (Position, error) {
-	address, ok := r.chooseRelay(time.Now())
-	if !ok || r.log.lastPosition() != (Position{}) || r.ctx.Err() != nil {
+	if r.options.PeerClient == nil || r.options.Relays == nil || r.log.lastPosition() != (Position{}) {
 		return Position{}, cause
 	}
-	state, err := r.requestFromRelay(address, Position{}, 0, relayLoadTimeout)
-	if err != nil || !r.replaceIfNewer(state.Changes, state.At, state.TreesAt) {
-		return Position{}, cause
+	asked := map[string]bool{}
+	for end := time.Now().Add(lastKnownTimeout); time.Now().Before(end) && clock.Sleep(r.ctx, relayDiscoveryInterval); {
+		addresses, _ := r.options.Relays(func(address string) bool {
+			return asked[address] || time.Now().Before(r.relayBackoff[address].until)
+		})
+		if len(addresses) == 0 || len(asked) == lastKnownPeers {
+			clear(asked)
+			continue
+		}
+		asked[addresses[0]] = true
+		state, err := r.requestFromRelay(addresses[0], Position{}, 0, lastKnownRequestTimeout)
+		if err == nil && r.replaceIfNewer(state.Changes, state.At, state.TreesAt) {
+			return state.At, nil
+		}
 	}
-	return state.At, nil
+	return Position{}, cause
 }
 
 // replace replaces the full state by a snapshot and publishes it. The settings trees are
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -49,13 +49,14 @@
 	Readers = 1
 	// firstDiscoveryTime is the time that all entries need at the first start to
 	// discover each other, and readerLoadTime the time that the reader then needs to
-	// load everything. firstLoadTimeout is the time after which an entry reads the store
-	// itself, and firstLoadRetryDelay the time between two requests to a relay that
-	// does not read the store yet.
-	firstDiscoveryTime  = time.Second
-	readerLoadTime      = 500 * time.Millisecond
-	firstLoadTimeout    = 3 * time.Second
-	firstLoadRetryDelay = 200 * time.Millisecond
+	// load everything. firstLoadTimeout, or startLoadTimeout at a later start, is the
+	// time after which an entry reads the store itself, and loadRetryDelay the time
+	// between two requests to a relay that does not read the store yet.
+	firstDiscoveryTime = time.Second
+	readerLoadTime     = 500 * time.Millisecond
+	firstLoadTimeout   = 3 * time.Second
+	startLoadTimeout   = 2 * time.Second
+	loadRetryDelay     = 200 * time.Millisecond
 	// discoveryTime is how long an entry that starts later, and serves already from the
 	// first pages of the store, waits until it has discovered a relay.
 	discoveryTime = 500 * time.Millisecond
@@ -65,6 +66,12 @@
 	// a failure domain may request it at once at the first start: a relay with a link
 	// of 20 Mbit/s then sends it for about 3 s.
 	relayLoadTimeout = 5 * time.Second
+	// lastKnownTimeout is how long an entry without state that the store refuses asks
+	// its peers before it turns to the store again, and lastKnownRequestTimeout bounds
+	// one such request.
+	lastKnownTimeout        = time.Second
+	lastKnownRequestTimeout = 500 * time.Millisecond
+	lastKnownPeers          = 3
 	// keepRelayTime is the time in which entries that start at once agree on their
 	// ranks.
 	keepRelayTime = 10 * time.Second
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -49,8 +49,8 @@
 	})
 	if err != nil && r.ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
 		isNotReader := errors.Is(err, ErrNotReader)
-		if isNotReader && r.options.FirstStart && r.log.lastPosition() == (Position{}) {
-			return reply, err // it is about to start reading; see loadAtFirstStart
+		if isNotReader && r.log.lastPosition() == (Position{}) {
+			return reply, err // probably it starts too, and will read the store soon
 		}
 		r.backOff(address, isNotReader)
 		r.options.Recorder.Record(eventRelayAvoided, events.F("address", address), events.F("error", err.Error()))
--- a/pkg/feed/start_test.go
+++ b/pkg/feed/start_test.go
@@ -63,17 +63,21 @@
 		pageDelay        time.Duration
 		// maxListed is the share of the entries that may list the same backend server
 		// while they read pages; 1: one page holds all.
-		maxListed float64
+		maxListed    float64
+		refusesThird bool
 	}{
-		{"19 entries", 19, 41, 10 * time.Millisecond, 1},
-		{"107 entries", 107, 191, 50 * time.Millisecond, 0.9},
-		{"472 entries", 472, 1081, 10 * time.Millisecond, 0.5},
-		{"472 entries, slow store", 472, 1081, 200 * time.Millisecond, 0.5},
+		{"19 entries", 19, 41, 10 * time.Millisecond, 1, false},
+		{"107 entries", 107, 191, 50 * time.Millisecond, 0.9, false},
+		{"472 entries", 472, 1081, 10 * time.Millisecond, 0.5, false},
+		{"472 entries, slow store", 472, 1081, 200 * time.Millisecond, 0.5, false},
+		{"107 entries, the store refuses a third", 107, 191, 10 * time.Millisecond, 1, true},
+		{"472 entries, the store refuses a third", 472, 1081, 10 * time.Millisecond, 1, true},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				store := newFakeStore()
 				store.pageItems, store.pageDelay, store.link = 50, tt.pageDelay, &link{bytesPerSecond: storeLinkBytesPerSecond}
+				store.refusesThird = tt.refusesThird
 				store.put(firstTreeKey, "tree")
 				store.putRegistrations(tt.servers)
 				f := newFleetOn(store, tt.entries, false, relaysAfterDiscovery())
