--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -136,7 +136,10 @@
 	f.mu.Lock()
 	f.peerConns = append(f.peerConns, other)
 	f.mu.Unlock()
-	return own, f.peerListeners[i].Connect(ctx, other)
+	if err := f.peerListeners[i].Connect(ctx, other); err != nil {
+		return nil, err
+	}
+	return own, nil
 }
 
 // breakPeerConns closes all connections between gateways.
