Keep the rate of a test from depending on the time that it takes

The test states 500 probes since 100 s before its start, and the command computes the rate by the clock: more than 0.1 s later it is 4.99 a second.

Measured: go test ./pkg/ctl passes.

--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -61,8 +61,10 @@
 		ServiceSettings:  map[string]operator.Settings{"varasto": {Service: "varasto", Region: "finland", Version: 3, Values: []operator.Value{{Path: "timeoutMs", Value: "300", Origin: "fleet"}}}},
 		OwnState:         operator.InstanceState{Ready: true, Version: 3, Digest: "aabbccddee", Confirmed: true, Confirmation: "peer", Members: []operator.Member{{Instance: "e-9", Incarnation: "09", Phase: "left"}}},
 		ActiveDrainMarks: []operator.DrainMark{{Service: "varasto", Address: "10.0.0.2:80", Source: "response", Age: 2 * time.Second}},
-		Probes: []operator.Measuring{{Service: "varasto", Since: time.Now().Add(-100 * time.Second),
-			All: operator.ProbeBudget{BudgetPerSecond: 20, Sent: 500}}},
+		// The rate is computed by the clock: over 10,000 s, the time that the test takes
+		// does not change its digits.
+		Probes: []operator.Measuring{{Service: "varasto", Since: time.Now().Add(-10_000 * time.Second),
+			All: operator.ProbeBudget{BudgetPerSecond: 20, Sent: 50_000}}},
 	}
 	second := &operatortest.View{
 		InstanceName:     "e-2",
@@ -119,7 +121,7 @@
 		{"settings of an unknown service", []string{"settings", "none"}, 5, nil},
 		{"instances", []string{"instances"}, 0, []string{"NO: unconfirmed", "NO: paused", "version 3 (aabbccdd) is in force at 1 of 2", "e-9"}},
 		{"draining", []string{"draining"}, 0, []string{"1s ago", "peer", "2 of 2: e-1, e-2"}},
-		{"measuring", []string{"measuring"}, 0, []string{"500", "20.00", "25.0%"}},
+		{"measuring", []string{"measuring"}, 0, []string{"50000", "20.00", "25.0%"}},
 		{"audit", []string{"audit"}, 0, []string{"ctl_test_change", "n=2", "e-2: 1 changes have fallen off", "4 changes at 2 entries"}},
 		{"audit with a limit", []string{"audit", "--after", "1", "--limit", "1"}, 0, []string{"e-1: 1 more changes, use --after 2"}},
 	}
