--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -27,6 +27,9 @@
 // service to a peer (handoff.go), which serves them like those of its own callers but
 // never hands them on (handoff_server.go). Package reach decides when (reach.go).
 //
+// An instance that stops refuses requests that may outlive it and asks callers to close
+// their connections (drain.go); package drain closes them.
+//
 // The state of a service (backend servers, limits, ejections, budgets) is kept
 // in a service value that persists across settings versions, so that a settings
 // change does not discard what was learned about the backend servers.
--- a/pkg/gateway/drain.go
+++ b/pkg/gateway/drain.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// drainState says that the instance is stopping. Requests are still accepted then,
+// drainState says whether the instance is stopping. Requests are still accepted then,
 // because the platform's load balancer notices with a delay, but only if they end in time:
 // at the end of the drain their connections are closed.
 type drainState struct {
@@ -35,9 +35,11 @@
 	return end != nil && c.deadline.After(*end)
 }
 
+const shuttingDownDetail = "this instance stops before the deadline of the request; another one may serve it"
+
 // refuseInDrain is the refusal of a request that may outlive the instance.
 func refuseInDrain() result {
-	return notRunResult(http.StatusServiceUnavailable, reasonShuttingDown, "this instance stops before the deadline of the request; another one may serve it").withRetryAfter()
+	return notRunResult(http.StatusServiceUnavailable, reasonShuttingDown, shuttingDownDetail).withRetryAfter()
 }
 
 // announceDrain asks the caller, in the response that is about to be sent, to close its
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -136,7 +136,7 @@
 	}
 	c.deadline = c.startTime.Add(timeout)
 	if c.outlivesDrain() {
-		return c.refuseBeforeClaim(http.StatusServiceUnavailable, reasonShuttingDown, refuseInDrain().detail).withRetryAfter(), false
+		return c.refuseBeforeClaim(http.StatusServiceUnavailable, reasonShuttingDown, shuttingDownDetail).withRetryAfter(), false
 	}
 	// A caller that does not read its response must not hold the request
 	// forever. The error is ignored because httptest.ResponseRecorder does not
