Review: entries of another writer keep a dropped route in force

Case: eight entries that cannot be read, of the largest value that the store allows, are renewed at every heartbeat; the operator removes a route. The replies of the store exceed the limit of the entry's client, in the watch and in the load that follows, and no entry adopts the version (CONFIG).

--- /dev/null
+++ b/review/kit/cases.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+var allCases = map[string]func(w *world) int{
+	"unreadable-entries": unreadableEntries,
+	"last-route":         lastRoute,
+	"smuggled-request":   smuggledRequest,
+	"large-bodies":       largeBodies,
+	"long-timeout":       longTimeout,
+
+	// Observations of REPORT.md that are no case of their own.
+	"growing-log": growingLog,
+	"half-close":  halfClose,
+}
+
+const (
+	orderHost    = "jepu9.example"
+	orderService = "wuno96b"
+	orderRoute   = `{"name":"r-order","kind":"unsafe","target-latency-ms":500,"priority":1,"match":{"path-prefix":"/puka111/"},"action":{"service":"wuno96b","timeout-ms":1500,"max-attempts":2}}`
+	readHost     = "hulo84.example"
+	readService  = "huvo11a"
+	readRoute    = `{"name":"r-read","kind":"safe","target-latency-ms":400,"priority":2,"match":{"path-prefix":"/leny950/"},"action":{"service":"huvo11a","timeout-ms":%d,"max-attempts":2}}`
+
+	usualTimeoutMS = 1200
+	answerTimeout  = 3 * time.Second // of the stand-ins for clients; above every deadline that they state
+	order          = "two pallets"
+)
+
+// listener returns the text of one listener with its rules.
+func listener(host string, rules ...string) string {
+	return fmt.Sprintf(`{"host":%q,"policy":[%s]}`, host, strings.Join(rules, ","))
+}
+
+// bothRoutes returns the listeners of the usual configuration.
+func bothRoutes() []string {
+	return []string{listener(orderHost, orderRoute), readListener(usualTimeoutMS)}
+}
+
+func readListener(timeoutMS int) string { return listener(readHost, fmt.Sprintf(readRoute, timeoutMS)) }
+
+// configuration returns the text of a configuration.
+func (w *world) configuration(version int, listeners ...string) []byte {
+	return fmt.Appendf(nil, `{"version":"%08x","limits":{"max-header-bytes":16384,"max-body-bytes":%d,"header-timeout-ms":3000,"idle-timeout-ms":15000},`+
+		`"listeners":[%s],"clusters":[{"name":%q,"health-path":"/health","max-conns":260,"protocol":"h1","tls":false},`+
+		`{"name":%q,"health-path":"/health","max-conns":260,"protocol":"h1","tls":false}]}`,
+		version, w.maxBody, strings.Join(listeners, ","), readService, orderService)
+}
+
+// smallDeployment starts the deployment that all cases use. When it returns, the machines
+// are in touch.
+func (w *world) smallDeployment(entries int, work time.Duration, config []byte) {
+	w.store.put("op/config", config)
+	w.addBackends(3, orderService, work)
+	w.addBackends(3, readService, work)
+	go w.keepBeating()
+	w.startEntries(entries)
+	w.waitUntilReady()
+	time.Sleep(contact + time.Second)
+}
+
+// sendOrder sends an order to an entry on a connection of its own.
+func (w *world) sendOrder(e *entry, id string) answer {
+	c := w.connect(e)
+	defer c.conn.Close()
+	c.send(id, request("POST", orderHost, "/puka111/1", id, "", order))
+	return c.receive(id, "POST", answerTimeout)
+}
+
+// sendRead does the same with a read.
+func (w *world) sendRead(e *entry, id string) answer {
+	c := w.connect(e)
+	defer c.conn.Close()
+	c.send(id, request("GET", readHost, "/leny950/1", id, "", ""))
+	return c.receive(id, "GET", answerTimeout)
+}
+
+// dropsOrderRoute publishes a configuration without the route of the orders and counts the
+// orders that are run by this route later than config-apply-ms after the acknowledgement.
+func (w *world) dropsOrderRoute(listeners ...string) int {
+	for i, e := range w.entries {
+		if w.sendOrder(e, fmt.Sprintf("before-%d", i)).status != 200 {
+			cannotRun("orders are not served before the change")
+		}
+	}
+	w.store.put("op/config", w.configuration(9, listeners...))
+	acknowledged := time.Now()
+	w.record.add("op/config  version 00000009 is acknowledged, listeners: [%s]", strings.Join(listeners, ","))
+	broken := 0
+	for round := range 6 {
+		time.Sleep(time.Until(acknowledged.Add(configApply + time.Second + time.Duration(round)*2*time.Second)))
+		for i, e := range w.entries {
+			id := fmt.Sprintf("after-%d-%d", round, i)
+			a := w.sendOrder(e, id)
+			if n := len(w.runs(id)); n > 0 {
+				broken++
+				w.record.add("BROKEN     CONFIG: %s was run %d times by the route that version 00000009 has dropped, answer %d", id, n, a.status)
+			}
+		}
+	}
+	return broken
+}
+
+func verdict(broken int) int {
+	if broken > 0 {
+		return ruleBroken
+	}
+	return ruleHeld
+}
+
+// lastRoute: the operator removes the last route. Without the trouble another route stays.
+func lastRoute(w *world) int {
+	w.smallDeployment(3, 50*time.Millisecond, w.configuration(7, listener(orderHost, orderRoute)))
+	left := []string{listener(orderHost)}
+	if !w.trouble {
+		left = append(left, readListener(usualTimeoutMS))
+	}
+	return verdict(w.dropsOrderRoute(left...))
+}
+
+// longTimeout: a version that removes a route sets a time-out of 15 minutes on another one.
+func longTimeout(w *world) int {
+	w.smallDeployment(3, 50*time.Millisecond, w.configuration(7, bothRoutes()...))
+	timeoutMS := 900_000
+	if !w.trouble {
+		timeoutMS = usualTimeoutMS + 100
+	}
+	return verdict(w.dropsOrderRoute(readListener(timeoutMS)))
+}
+
+// smuggledRequest: a request with two lengths, behind another one in the same write, hides a
+// third one in its body. Without the trouble it is sent after the answer to the first one.
+func smuggledRequest(w *world) int {
+	w.smallDeployment(1, 50*time.Millisecond, w.configuration(7, bothRoutes()...))
+	inner := request("POST", orderHost, "/puka111/inner", "inner-1", "", "hidden order")
+	body := "0\r\n\r\n" + inner
+	outer := request("POST", orderHost, "/puka111/outer", "outer-1", fmt.Sprintf("Transfer-Encoding: chunked\r\nContent-Length: %d\r\n", len(body)), "") + body
+	first := request("GET", readHost, "/leny950/1", "first-1", "", "")
+	c := w.connect(w.entries[0])
+	defer c.conn.Close()
+	if w.trouble {
+		c.send("first-1, and outer-1 in the same write", first+outer)
+		c.receive("first-1", "GET", answerTimeout)
+	} else {
+		c.send("first-1", first)
+		c.receive("first-1", "GET", answerTimeout)
+		c.send("outer-1", outer)
+	}
+	for range 2 {
+		if c.receive("outer-1, or what follows it", "POST", answerTimeout).err != nil {
+			break
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	n := len(w.runs("inner-1"))
+	if n > 0 {
+		w.record.add("BROKEN     UNASKED: inner-1, the body of outer-1 by its Content-Length, was run %d times as a request", n)
+	}
+	return verdict(n)
+}
+
+// halfClose: clients close their sending side and wait for the answer.
+func halfClose(w *world) int {
+	w.smallDeployment(1, 50*time.Millisecond, w.configuration(7, bothRoutes()...))
+	broken := 0
+	for i := range 10 {
+		id := fmt.Sprintf("read-%d", i)
+		c := w.connect(w.entries[0])
+		c.send(id, request("GET", readHost, "/leny950/1", id, "", ""))
+		if w.trouble {
+			c.closeSending(id)
+		}
+		a := c.receive(id, "GET", answerTimeout)
+		_ = c.conn.Close()
+		if a.err == nil && a.status/100 == 2 && a.signature == "" {
+			broken++
+			w.record.add("BROKEN     MIXED: %s has a success without the signature of a backend", id)
+		}
+	}
+	return verdict(broken)
+}
+
+// keptClient sends requests on one connection, one after another, until stop is closed or the
+// connection ends.
+type keptClient struct {
+	entry    *entry
+	answered int
+	lost     string // the request whose connection was closed without an answer
+}
+
+// keepSending starts n clients of each entry, which send reads and orders by turns.
+func (w *world) keepSending(n int, stop <-chan struct{}) (clients []*keptClient, running *sync.WaitGroup) {
+	running = &sync.WaitGroup{}
+	for i, e := range w.entries {
+		for j := range n {
+			k := &keptClient{entry: e}
+			clients = append(clients, k)
+			running.Go(func() { k.run(w, fmt.Sprintf("client-%d-%d", i, j), j%2 == 0, stop) })
+		}
+	}
+	return clients, running
+}
+
+func (k *keptClient) run(w *world, name string, reads bool, stop <-chan struct{}) {
+	c := w.connect(k.entry)
+	defer c.conn.Close()
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		id, method := fmt.Sprintf("%s-%d", name, i), "POST"
+		text := request(method, orderHost, "/puka111/1", id, "", order)
+		if reads {
+			method = "GET"
+			text = request(method, readHost, "/leny950/1", id, "", "")
+		}
+		c.send(id, text)
+		if a := c.receive(id, method, answerTimeout); a.err != nil {
+			if !isTimeout(a.err) {
+				k.lost = id
+			}
+			return
+		}
+		k.answered++
+	}
+}
+
+// countLost returns the number of requests that were taken from a kept connection, passed on
+// to a backend, and whose connection was closed without an answer. It is the check of LOST.
+func (w *world) countLost(clients []*keptClient) (lost int) {
+	for _, k := range clients {
+		if k.lost != "" && k.answered > 0 && len(w.runs(k.lost)) > 0 {
+			lost++
+			w.record.add("LOST       %s on a kept connection of %s was run, and the connection closed without an answer", k.lost, k.entry.name)
+		}
+	}
+	return lost
+}
+
+// allowedLost is the number of requests that a day may lose in that way.
+const allowedLost = 3
+
+func (w *world) lostVerdict(lost int) int {
+	if lost <= allowedLost {
+		return ruleHeld
+	}
+	w.record.add("BROKEN     LOST: %d requests, more than %d", lost, allowedLost)
+	return ruleBroken
+}
+
+// unreadable returns the value of an entry that cannot be read: as long as the store allows,
+// or short without the trouble.
+func (w *world) unreadable() []byte {
+	size := 64
+	if w.trouble {
+		size = w.valueBytes
+	}
+	return []byte(strings.Repeat("\xa5", size))
+}
+
+// unreadableEntries: another writer renews its entries, which cannot be read, while the
+// operator removes a route.
+func unreadableEntries(w *world) int {
+	const entries = 8
+	w.store.staleness = 2 * time.Second
+	w.smallDeployment(3, 50*time.Millisecond, w.configuration(7, bothRoutes()...))
+	value := w.unreadable()
+	w.record.add("store      the other writer renews %d entries of %d bytes every %v", entries, len(value), beatPeriod)
+	go func() {
+		tick := time.NewTicker(beatPeriod)
+		defer tick.Stop()
+		for {
+			for i := range entries {
+				w.store.put(fmt.Sprintf("servers/x-%04d", i), value)
+			}
+			select {
+			case <-w.stopBeat:
+				return
+			case <-tick.C:
+			}
+		}
+	}()
+	time.Sleep(2 * contact)
+	return verdict(w.dropsOrderRoute(readListener(usualTimeoutMS)))
+}
+
+// growingLog: another writer renews entries that cannot be read, one after another, until
+// all processes have exceeded their memory.
+func growingLog(w *world) int {
+	const entries, longest = 9, 80 * time.Second
+	w.smallDeployment(3, 700*time.Millisecond, w.configuration(7, bothRoutes()...))
+	value := w.unreadable()
+	stop := make(chan struct{})
+	clients, running := w.keepSending(4, stop)
+	watch := w.watchMemory()
+	end := time.Now().Add(longest)
+	for i := 0; time.Now().Before(end) && watch.countKilled() < len(w.entries); i++ {
+		w.store.put(fmt.Sprintf("servers/x-%04d", i%entries), value)
+		time.Sleep(beatPeriod / entries)
+	}
+	time.Sleep(2 * time.Second)
+	close(stop)
+	running.Wait()
+	watch.stop()
+	return w.lostVerdict(w.countLost(clients))
+}
+
+// largeBodies: four clients upload bodies below the operator's limit at the same time.
+// Without the trouble the bodies are short.
+func largeBodies(w *world) int {
+	const uploads = 4
+	w.maxBody = 64 << 20 // as in the example that the bench prints for the site
+	w.smallDeployment(1, 700*time.Millisecond, w.configuration(7, bothRoutes()...))
+	size := 1 << 10
+	if w.trouble {
+		size = 60 << 20
+	}
+	body := strings.Repeat("x", size)
+	stop := make(chan struct{})
+	clients, running := w.keepSending(8, stop)
+	time.Sleep(2 * time.Second)
+	watch := w.watchMemory()
+	var uploading sync.WaitGroup
+	for i := range uploads {
+		uploading.Go(func() {
+			id := fmt.Sprintf("upload-%d", i)
+			c := w.connect(w.entries[0])
+			defer c.conn.Close()
+			c.send(id, request("POST", orderHost, "/puka111/1", id, "", body))
+			c.receive(id, "POST", answerTimeout)
+		})
+	}
+	uploading.Wait()
+	time.Sleep(2 * time.Second)
+	close(stop)
+	running.Wait()
+	watch.stop()
+	return w.lostVerdict(w.countLost(clients))
+}
