--- a/review/kit/cases.go
+++ b/review/kit/cases.go
@@ -8,15 +8,16 @@
 )
 
 var allCases = map[string]func(w *world) int{
+	"growing-log":        growingLog,
 	"unreadable-entries": unreadableEntries,
 	"last-route":         lastRoute,
 	"smuggled-request":   smuggledRequest,
-	"large-bodies":       largeBodies,
-	"long-timeout":       longTimeout,
+	"upgrade":            upgrade,
 
 	// Observations of REPORT.md that are no case of their own.
-	"growing-log": growingLog,
-	"half-close":  halfClose,
+	"large-bodies": largeBodies,
+	"long-timeout": longTimeout,
+	"half-close":   halfClose,
 }
 
 const (
@@ -52,14 +53,19 @@
 		version, w.maxBody, strings.Join(listeners, ","), readService, orderService)
 }
 
-// smallDeployment starts the deployment that all cases use. When it returns, the machines
+// smallDeployment starts a deployment of the current build. When it returns, the machines
 // are in touch.
 func (w *world) smallDeployment(entries int, work time.Duration, config []byte) {
+	w.deployment(entries, currentProgram, work, config)
+}
+
+// deployment is smallDeployment for a program.
+func (w *world) deployment(entries int, program string, work time.Duration, config []byte) {
 	w.store.put("op/config", config)
 	w.addBackends(3, orderService, work)
 	w.addBackends(3, readService, work)
 	go w.keepBeating()
-	w.startEntries(entries)
+	w.startEntries(entries, program)
 	w.waitUntilReady()
 	time.Sleep(contact + time.Second)
 }
@@ -294,7 +300,7 @@
 // growingLog: another writer renews entries that cannot be read, one after another, until
 // all processes have exceeded their memory.
 func growingLog(w *world) int {
-	const entries, longest = 9, 80 * time.Second
+	const entries, longest = 5, 100 * time.Second
 	w.smallDeployment(3, 700*time.Millisecond, w.configuration(7, bothRoutes()...))
 	value := w.unreadable()
 	stop := make(chan struct{})
@@ -344,3 +350,25 @@
 	watch.stop()
 	return w.lostVerdict(w.countLost(clients))
 }
+
+// olderProgram is the build b3111bb, which landed before.
+const olderProgram = "lentilpin-entry-b3111bb"
+
+// upgrade: machines are replaced by ones of the current build one after another; before the
+// last one the operator removes a route. Without the trouble they are restarted with the
+// older build.
+func upgrade(w *world) int {
+	const machines = 12
+	w.zones = 1
+	w.deployment(machines, olderProgram, 50*time.Millisecond, w.configuration(7, bothRoutes()...))
+	program := currentProgram
+	if !w.trouble {
+		program = olderProgram
+	}
+	for _, e := range w.entries[1:] {
+		e.replace(program)
+	}
+	w.waitUntilReady()
+	time.Sleep(contact + time.Second)
+	return verdict(w.dropsOrderRoute(readListener(usualTimeoutMS)))
+}
--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -60,14 +61,13 @@
 	entries  []*entry
 	stopBeat chan struct{}
 
+	zones      int
 	maxBody    int // max-body-bytes of the configurations
 	valueBytes int // value-bytes of the store
 }
 
-// errCannotRun ends a case that could not be played.
-type errCannotRun struct{ reason string }
-
-func cannotRun(format string, args ...any) { panic(errCannotRun{fmt.Sprintf(format, args...)}) }
+// cannotRun ends a case that could not be played.
+func cannotRun(format string, args ...any) { panic(fmt.Sprintf(format, args...)) }
 
 // listen opens a listener on a free port of ip.
 func listen(ip string) net.Listener {
@@ -91,7 +91,7 @@
 	}
 	w := &world{
 		record:  &record{file: file, start: time.Now()},
-		trouble: os.Getenv("TROUBLE") != "0", dir: dir, stopBeat: make(chan struct{}), maxBody: 1 << 20, valueBytes: 1 << 20,
+		trouble: os.Getenv("TROUBLE") != "0", dir: dir, stopBeat: make(chan struct{}), zones: 3, maxBody: 1 << 20, valueBytes: 1 << 20,
 		network: fmt.Sprintf("127.%d.%d.", 64+os.Getpid()/256%128, os.Getpid()%256),
 	}
 	w.store = newStore(w.network + "1")
@@ -113,7 +113,7 @@
 func (w *world) addBackends(n int, service string, work time.Duration) {
 	for range n {
 		i := len(w.backends)
-		b := newBackend(w.record, w.network+"2", fmt.Sprintf("i-%08x", 0x7f3a91c2+i*0x01000193), service, zoneName(i), work)
+		b := newBackend(w.record, w.network+"2", fmt.Sprintf("i-%08x", 0x7f3a91c2+i*0x01000193), service, w.zone(i), work)
 		b.beat(w.store, "ready")
 		w.backends = append(w.backends, b)
 	}
@@ -135,15 +135,17 @@
 	}
 }
 
-func zoneName(i int) string { return "zone-" + string(rune('a'+i%3)) }
+// zone returns the zone of the machine or backend i.
+func (w *world) zone(i int) string { return "zone-" + string(rune('a'+i%w.zones)) }
 
 // entry is one process of the project.
 type entry struct {
-	world    *world
-	name, ip string
-	settings string
-	cmd      *exec.Cmd
-	exited   chan struct{}
+	world          *world
+	name, zone, ip string
+	seeds          []string
+	program        string // in target/
+	cmd            *exec.Cmd
+	exited         chan struct{}
 }
 
 const (
@@ -154,59 +156,77 @@
 	lastOwnPort  = 7635
 )
 
+// currentProgram is the program of the deploy file.
+const currentProgram = "lentilpin-entry"
+
+func (e *entry) settings() string { return filepath.Join(e.world.dir, e.name+".json") }
+
 func (e *entry) front() string { return fmt.Sprintf("%s:%d", e.ip, frontPort) }
 
-// startEntries starts n entries at the same time, at the first start of the system.
-func (w *world) startEntries(n int) {
+// startEntries starts n entries of a program at the same time, at the first start of the
+// system.
+func (w *world) startEntries(n int, program string) {
 	var seeds []string
 	for i := range min(3, n) {
 		seeds = append(seeds, fmt.Sprintf("%s%d:%d", w.network, 11+i, controlPort))
 	}
 	for i := range n {
-		e := &entry{world: w, name: fmt.Sprintf("front-%s-%d", zoneName(i), 1+i/3), ip: fmt.Sprintf("%s%d", w.network, 11+i)}
-		e.settings = filepath.Join(w.dir, e.name+".json")
-		text, _ := json.Marshal(map[string]any{
-			"self": map[string]any{
-				"node": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": e.ip,
-				"zone": zoneName(i), "region": "region", "in-tolerance": false, "bootstrap": true, "data-dir": nil,
-				"limits": map[string]any{"cpu-share": 0.32, "cores": 1, "memory-mb": memoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
-			},
-			"network": map[string]any{
-				"listen": map[string]any{
-					"front": e.front(), "ready": fmt.Sprintf("%s:%d", e.ip, readyPort), "control": fmt.Sprintf("%s:%d", e.ip, controlPort),
-				},
-				"internal-ports": []int{firstOwnPort, lastOwnPort}, "seeds": seeds,
-				"zones": map[string]string{"zone-a": "region", "zone-b": "region", "zone-c": "region"},
+		e := &entry{
+			world: w, program: program, zone: w.zone(i), seeds: seeds,
+			name: fmt.Sprintf("front-%s-%d", w.zone(i), 1+i/w.zones), ip: fmt.Sprintf("%s%d", w.network, 11+i),
+		}
+		w.entries = append(w.entries, e)
+		e.start(true)
+	}
+}
+
+// writeSettings writes the settings file as the platform does.
+func (e *entry) writeSettings(bootstrap bool) {
+	w := e.world
+	zones := map[string]string{}
+	for i := range w.zones {
+		zones[w.zone(i)] = "region"
+	}
+	text, _ := json.Marshal(map[string]any{
+		"self": map[string]any{
+			"node": e.name, "role": "entry", "machine-class": "front", "serves": []string{"front", "control"}, "ip": e.ip,
+			"zone": e.zone, "region": "region", "in-tolerance": false, "bootstrap": bootstrap, "data-dir": nil,
+			"limits": map[string]any{"cpu-share": 0.32, "cores": 1, "memory-mb": memoryMB, "max-fds": 4100, "link-mbps": 1000.0, "disk-mb": 0},
+		},
+		"network": map[string]any{
+			"listen": map[string]any{
+				"front": e.front(), "ready": fmt.Sprintf("%s:%d", e.ip, readyPort), "control": fmt.Sprintf("%s:%d", e.ip, controlPort),
 			},
+			"internal-ports": []int{firstOwnPort, lastOwnPort}, "seeds": e.seeds,
+			"zones": zones,
+		},
+		"provider": map[string]any{
+			"discovery": "platform", "entry": "vip", "heartbeat-ms": beatPeriod.Milliseconds(),
 			"provider": map[string]any{
-				"discovery": "platform", "entry": "vip", "heartbeat-ms": beatPeriod.Milliseconds(),
-				"provider": map[string]any{
-					"address": w.store.address(), "form": "read", "writes-per-s": 400, "reads-per-s": 2000, "history-s": 20,
-					"value-bytes": w.valueBytes, "min-ttl-ms": 1000,
-				},
+				"address": w.store.address(), "form": "read", "writes-per-s": 400, "reads-per-s": 2000, "history-s": historyTime.Seconds(),
+				"value-bytes": w.valueBytes, "min-ttl-ms": 1000,
 			},
-			"terms": map[string]any{
-				"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "health", "platform"},
-				"fault-tolerance": map[string]any{"machines": 2, "zones": 0, "regions": 0},
-				"bounds": map[string]any{
-					"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": contact.Milliseconds(), "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000,
-					"grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": configApply.Milliseconds(), "downgrade-slack-ms": 250, "max-stretch-ms": 5000,
-					"retry-budget-ratio": 0.2, "retry-window-s": 10, "retry-slack": 64, "recovery-s": 15, "probes-per-s": 60,
-				},
+		},
+		"terms": map[string]any{
+			"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "health", "platform"},
+			"fault-tolerance": map[string]any{"machines": 2, "zones": 0, "regions": 0},
+			"bounds": map[string]any{
+				"seed-lag-s": 3, "reuse-after-s": 2, "contact-ms": contact.Milliseconds(), "ack-ms": 4000, "catch-up-s": 4, "drain-ms": 2000,
+				"grace-s": 6, "loss-slack-ms": 200, "config-apply-ms": configApply.Milliseconds(), "downgrade-slack-ms": 250, "max-stretch-ms": 5000,
+				"retry-budget-ratio": 0.2, "retry-window-s": 10, "retry-slack": 64, "recovery-s": 15, "probes-per-s": 60,
 			},
-		})
-		if err := os.WriteFile(e.settings, text, 0o600); err != nil {
-			cannotRun("%v", err)
-		}
-		w.entries = append(w.entries, e)
-		e.start()
+		},
+	})
+	if err := os.WriteFile(e.settings(), text, 0o600); err != nil {
+		cannotRun("%v", err)
 	}
 }
 
 // start starts the process with the command of the deploy file, in the repository root.
-func (e *entry) start() {
-	e.cmd = exec.Command("target/lentilpin-entry", "--operators-port", "9464")
-	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + e.world.dir, "LANG=C", "LENTILPIN_CONFIG=" + e.settings}
+func (e *entry) start(bootstrap bool) {
+	e.writeSettings(bootstrap)
+	e.cmd = exec.Command("target/"+e.program, "--operators-port", "9464")
+	e.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + e.world.dir, "LANG=C", "LENTILPIN_CONFIG=" + e.settings()}
 	log, err := os.OpenFile(filepath.Join(e.world.dir, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		cannotRun("%v", err)
@@ -221,7 +241,23 @@
 		_ = log.Close()
 		close(e.exited)
 	}()
-	e.world.record.add("start      %s", e.name)
+	e.world.record.add("start      %s, %s", e.name, e.program)
+}
+
+// graceTime is the bound grace-s.
+const graceTime = 6 * time.Second
+
+// replace stops the machine's process as planned and starts a program in its place.
+func (e *entry) replace(program string) {
+	e.world.record.add("SIGTERM    %s, %s", e.name, e.program)
+	_ = e.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-e.exited:
+	case <-time.After(graceTime):
+		e.kill()
+	}
+	e.program = program
+	e.start(false)
 }
 
 // kill ends the process, also if it is stopped.
@@ -417,11 +453,11 @@
 func play(caseDir string, f func(w *world) int) (code int) {
 	var w *world
 	defer func() {
-		if failure, ok := recover().(errCannotRun); ok {
+		if failure := recover(); failure != nil {
 			if w != nil {
-				w.record.add("could not run: %s", failure.reason)
+				w.record.add("could not run: %v", failure)
 			}
-			fmt.Fprintln(os.Stderr, "could not run:", failure.reason)
+			fmt.Fprintln(os.Stderr, "could not run:", failure)
 			code = notRun
 		}
 		if w != nil {
@@ -429,6 +465,14 @@
 		}
 	}()
 	w = newWorld(caseDir)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.record.add("interrupted")
+		w.close()
+		os.Exit(notRun)
+	}()
 	code = f(w)
 	w.record.add("exit code %d", code)
 	return code
