Put a configuration without routes in force

Cause: the adapter wrote null for no routes, which the schema refuses, and the gateway took an empty list for none and found services by the first path segment.

With an empty list no request has a route.

--- a/pkg/config/dynamic/outline.go
+++ b/pkg/config/dynamic/outline.go
@@ -28,9 +28,10 @@
 // outline is the text of a tree, split into its members, its routes and its services.
 // Its texts refer to the text of the tree.
 type outline struct {
-	members map[string][]byte // without the routes and the regions
-	routes  [][]byte
-	regions map[string]regionOutline
+	members      map[string][]byte // without the routes and the regions
+	statesRoutes bool              // the text has a list of routes
+	routes       [][]byte
+	regions      map[string]regionOutline
 }
 
 // regionOutline is the text of a region, split into its defaults and its services.
@@ -52,6 +53,7 @@
 		seen[name] = true
 		switch name {
 		case routesMember:
+			o.statesRoutes = true
 			o.routes, err = rawElements(d)
 		case regionsMember:
 			o.regions, err = outlineOfRegions(d)
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -34,8 +34,11 @@
 	Digest  [sha256.Size]byte // of the text as published
 	Text    []byte
 
-	Routes  []Route // routes of callers' requests; empty: the first path segment names the service
-	Callers Callers
+	// StatesRoutes reports whether the tree states a list of routes, which may be empty:
+	// then no request has a route. Without a list the first path segment names the service.
+	StatesRoutes bool
+	Routes       []Route // routes of callers' requests
+	Callers      Callers
 
 	services map[string]map[string]*ResolvedService // by region, then by service
 	outline  outline                                // of Text; empty if that is in an unusual form
@@ -90,7 +93,7 @@
 	if !ok || len(outline.routes) > maxRoutes {
 		return parseWhole(t)
 	}
-	t.outline = outline
+	t.outline, t.StatesRoutes = outline, outline.statesRoutes
 	var unchecked []int
 	t.Routes, unchecked = outline.decodeRoutes(previous)
 	unchanged, changed := t.takeUnchangedServices(previous)
@@ -133,7 +136,8 @@
 	if err != nil {
 		return nil, err
 	}
-	t.Routes, t.services = doc.Routes, map[string]map[string]*ResolvedService{}
+	t.StatesRoutes, t.Routes = doc.Routes != nil, doc.Routes
+	t.services = map[string]map[string]*ResolvedService{}
 	return t.resolve(doc)
 }
 
--- a/pkg/config/dynamic/tree_test.go
+++ b/pkg/config/dynamic/tree_test.go
@@ -86,6 +86,39 @@
 	})
 }
 
+// Guards against an empty list of routes that is taken for none, and against the list of
+// the previous tree that stays in force.
+func TestStatesRoutes(t *testing.T) {
+	const route = `{"host":"h","pathPrefix":"/","services":[{"service":"s"}]}`
+	var previous *dynamic.Tree
+	for i, tc := range []struct {
+		desc, member string
+		want         bool
+		routes       int
+	}{
+		{"one", `,"routes":[` + route + `]`, true, 1},
+		{"empty", `,"routes":[]`, true, 0},
+		{"none", ``, false, 0},
+		{"one again", `,"routes":[` + route + `]`, true, 1},
+	} {
+		text := fmt.Appendf(nil, `{"version":%d,"regions":{"r":{"services":{"s":{}}}}%s}`, i+1, tc.member)
+		for _, tree := range parseBoth(t, previous, text) {
+			require.Equal(t, tc.want, tree.StatesRoutes, tc.desc)
+			require.Len(t, tree.Routes, tc.routes, tc.desc)
+			previous = tree
+		}
+	}
+}
+
+// parseBoth parses a text alone and after a previous tree.
+func parseBoth(t *testing.T, previous *dynamic.Tree, text []byte) []*dynamic.Tree {
+	alone, err := dynamic.Parse(text)
+	require.NoError(t, err)
+	after, err := dynamic.ParseAfter(previous, text)
+	require.NoError(t, err)
+	return []*dynamic.Tree{alone, after}
+}
+
 // Guards against a service that keeps its old settings when only its region or
 // the fleet changes.
 func TestParseAfterEqualsParse(t *testing.T) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -167,7 +167,11 @@
 		}
 	}
 	old := g.current.Load()
-	g.current.Store(newSnapshot(next, route.NewTable(old.routes, tree.Routes), tree))
+	var routes *route.Table
+	if tree.StatesRoutes {
+		routes = route.NewTable(old.routes, tree.Routes)
+	}
+	g.current.Store(newSnapshot(next, routes, tree))
 	for _, s := range old.list {
 		if next[s.name] == nil {
 			s.close()
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -100,11 +100,12 @@
 	return max(wait, readinessTimeout)
 }
 
-// findService finds the route and the service of the request. If the settings
-// define no routes, the first path segment is the name of the service.
+// findService finds the route and the service of the request. If the settings state no
+// list of routes, the first path segment is the name of the service; if the list is
+// empty, no request has a route.
 func (c *call) findService() (result, bool) {
 	routes := c.activeSnapshot.routes
-	if routes.IsEmpty() {
+	if routes == nil {
 		c.record.Service, _, _ = strings.Cut(strings.TrimPrefix(c.r.URL.Path, "/"), "/")
 		if c.svc = c.activeSnapshot.byName[c.record.Service]; c.svc == nil {
 			return c.refuseBeforeClaim(http.StatusNotFound, reasonUnknownService, "no such service in this region"), false
--- a/pkg/gateway/snapshot.go
+++ b/pkg/gateway/snapshot.go
@@ -15,7 +15,7 @@
 	hasSettings bool // false until the first settings tree: routes and services are unknown
 	byName      map[string]*service
 	list        []*service // sorted by name
-	routes      *route.Table
+	routes      *route.Table // nil: the first path segment names the service
 	callers     *callerConfig
 	version     uint64
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -75,9 +75,6 @@
 	return nil
 }
 
-// IsEmpty reports whether the table has no routes.
-func (t *Table) IsEmpty() bool { return t == nil || len(t.hosts) == 0 }
-
 // Lookup returns the route with the longest matching prefix for host and path,
 // or nil. Case and port of host are ignored.
 func (t *Table) Lookup(host, path string) *Route {
