Put versions in force whatever the size of their values

Callers saw: a version that sets a timeout of 15 minutes and removes a route was refused whole by every entry, so orders were run by the dropped route (CONFIG). Six other values had the same effect.

Cause: the schema of the settings tree bounds values that the platform does not, and a version is refused whole for one of them. A member name with control characters and fractions broke the translation in the same way.

Values that were accepted and failed later are handled too: attempts and timeouts of requests handed on, the time limit of one attempt, Deadline-Ms above 2^31, buffers sized by maxAttempts, sums of weights.

--- a/pkg/config/dynamic/route.go
+++ b/pkg/config/dynamic/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"lentilpin/pkg/config/schema"
@@ -10,15 +11,18 @@
 // Route maps the requests for a host and a path to services. Among the routes
 // of a host, the one with the longest matching path prefix applies.
 type Route struct {
-	Name            string            `json:"name"`
-	Host            string            `json:"host"`
-	PathPrefix      string            `json:"pathPrefix"`      // begins and ends with a slash
-	Idempotent      bool              `json:"idempotent"`      // default false; whether requests may run more than once
-	TimeoutMS       int               `json:"timeoutMs"`       // default 0: that of the service; upper bound of a caller's wait
-	MaxAttempts     int               `json:"maxAttempts"`     // default 0: that of the service; most backend servers that one request is sent to
-	TargetLatencyMS int               `json:"targetLatencyMs"` // default 0: no target; latency within which a response has its full value
-	Priority        int               `json:"priority"`        // default 0; 0 is the highest priority
-	Services        []WeightedService `json:"services"`        // one service, or several that split the requests by weight
+	Name       string `json:"name"`
+	Host       string `json:"host"`
+	PathPrefix string `json:"pathPrefix"` // begins and ends with a slash
+	Idempotent bool   `json:"idempotent"` // default false; whether requests may run more than once
+	TimeoutMS  int    `json:"timeoutMs"`  // default 0: that of the service; upper bound of a caller's wait
+	// AttemptTimeoutMS is the time limit of one attempt of an idempotent request; default
+	// 0: that of the service.
+	AttemptTimeoutMS int               `json:"attemptTimeoutMs,omitempty"`
+	MaxAttempts      int               `json:"maxAttempts"`     // default 0: that of the service; most backend servers that one request is sent to
+	TargetLatencyMS  int               `json:"targetLatencyMs"` // default 0: no target; latency within which a response has its full value
+	Priority         int               `json:"priority"`        // default 0; 0 is the highest priority
+	Services         []WeightedService `json:"services"`        // one service, or several that split the requests by weight
 }
 
 // WeightedService assigns one service a weighted part of the requests of a route.
@@ -31,6 +35,10 @@
 // none.
 func (r *Route) Timeout() time.Duration { return MillisToDuration(r.TimeoutMS) }
 
+// MaxMillis is the largest number of milliseconds that settings may state, 24 days. Its
+// duration can be added to any time without an overflow.
+const MaxMillis = math.MaxInt32
+
 // Callers holds the settings that apply to callers: limits on what they send,
 // names of header fields and Retry-After. A limit of zero leaves that of the
 // settings file or of the service in force.
--- a/pkg/config/dynamic/route_decoder.go
+++ b/pkg/config/dynamic/route_decoder.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 	"github.com/go-faster/jx"
@@ -15,22 +17,15 @@
 
 // Bounds of the members of a route in schema.json.
 const (
-	maxRouteNameBytes   = 128
-	maxHostBytes        = 253
-	maxPathPrefixBytes  = 1002
-	maxServiceNameBytes = 63
-	maxRouteTimeoutMS   = 600_000
-	maxRouteAttempts    = 10
-	maxRoutePriority    = 1000
-	maxRouteServices    = 64
-	maxRouteWeight      = 1e9
+	maxRouteAttempts = math.MaxInt32
+	maxRoutePriority = math.MaxInt32
 )
 
 // decodeRoute decodes a route whose text is in the usual form. It returns false unless
 // the text certainly complies with the schema: all else is left to the check of the
 // schema, which takes a hundred times as long and describes violations.
 func decodeRoute(text []byte) (Route, bool) {
-	if bytes.ContainsFunc(text, func(c rune) bool { return c >= 0x7f || c == '\\' }) {
+	if bytes.IndexByte(text, '\\') >= 0 || !utf8.Valid(text) {
 		return Route{}, false
 	}
 	d := jx.GetDecoder()
@@ -49,7 +44,7 @@
 
 // routeMembers are the names of the members of a route; those that are required come
 // first.
-var routeMembers = []string{"host", "pathPrefix", "services", "name", "idempotent", "timeoutMs", "maxAttempts", "targetLatencyMs", "priority"}
+var routeMembers = []string{"host", "pathPrefix", "services", "name", "idempotent", "timeoutMs", "attemptTimeoutMs", "maxAttempts", "targetLatencyMs", "priority"}
 
 const requiredRouteMembers = 3
 
@@ -74,19 +69,21 @@
 func (r *Route) decodeMember(d *jx.Decoder, name []byte) (err error) {
 	switch string(name) {
 	case "name":
-		r.Name, err = decodeText(d, func(s string) bool { return len(s) <= maxRouteNameBytes })
+		r.Name, err = decodeText(d, func(string) bool { return true })
 	case "host":
-		r.Host, err = decodeText(d, func(s string) bool { return s != "" && len(s) <= maxHostBytes })
+		r.Host, err = decodeText(d, isNotEmpty)
 	case "pathPrefix":
 		r.PathPrefix, err = decodeText(d, isPathPrefix)
 	case "idempotent":
 		r.Idempotent, err = d.Bool()
 	case "timeoutMs":
-		r.TimeoutMS, err = decodeInt(d, 1, maxRouteTimeoutMS)
+		r.TimeoutMS, err = decodeInt(d, 0, MaxMillis)
+	case "attemptTimeoutMs":
+		r.AttemptTimeoutMS, err = decodeInt(d, 0, MaxMillis)
 	case "maxAttempts":
-		r.MaxAttempts, err = decodeInt(d, 1, maxRouteAttempts)
+		r.MaxAttempts, err = decodeInt(d, 0, maxRouteAttempts)
 	case "targetLatencyMs":
-		r.TargetLatencyMS, err = decodeInt(d, 0, maxRouteTimeoutMS)
+		r.TargetLatencyMS, err = decodeInt(d, 0, MaxMillis)
 	case "priority":
 		r.Priority, err = decodeInt(d, 0, maxRoutePriority)
 	case "services":
@@ -103,7 +100,7 @@
 		out = append(out, s)
 		return err
 	})
-	if err == nil && (len(out) == 0 || len(out) > maxRouteServices) {
+	if err == nil && len(out) == 0 {
 		err = errUnusualRoute
 	}
 	return out, err
@@ -120,7 +117,7 @@
 		case !seen.add(serviceMembers, name):
 			return errUnusualRoute
 		case string(name) == "service":
-			s.Service, err = decodeText(d, isServiceName)
+			s.Service, err = decodeText(d, isNotEmpty)
 		default:
 			s.Weight, err = decodeWeight(d)
 		}
@@ -163,34 +160,15 @@
 		return 0, err
 	}
 	weight, err := strconv.ParseFloat(string(bytes.TrimSpace(raw)), 64)
-	if err == nil && !(weight >= 0 && weight <= maxRouteWeight) {
+	if err == nil && weight < 0 {
 		err = errUnusualRoute
 	}
 	return weight, err
 }
 
-// isPathPrefix reports whether s is a slash, or visible ASCII characters between two
-// slashes.
+// isPathPrefix reports whether s begins and ends with a slash.
 func isPathPrefix(s string) bool {
-	if s == "" || len(s) > maxPathPrefixBytes || s[0] != '/' || s[len(s)-1] != '/' {
-		return false
-	}
-	for i := range len(s) {
-		if s[i] < '!' || s[i] > '~' {
-			return false
-		}
-	}
-	return true
+	return isNotEmpty(s) && s[0] == '/' && s[len(s)-1] == '/'
 }
 
-func isServiceName(s string) bool {
-	if s == "" || len(s) > maxServiceNameBytes || s[0] == '-' {
-		return false
-	}
-	for i := range len(s) {
-		if c := s[i]; (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
-			return false
-		}
-	}
-	return true
-}
+func isNotEmpty(s string) bool { return s != "" }
--- a/pkg/config/dynamic/tree.go
+++ b/pkg/config/dynamic/tree.go
@@ -280,10 +280,6 @@
 	}
 }
 
-// maxInstancesPerConnection is the highest allowed ratio of entries to connections
-// of a backend server; package subset is tested up to this ratio.
-const maxInstancesPerConnection = 3
-
 // check validates the rules that relate several values.
 func (r *ResolvedService) check(path string) []schema.Violation {
 	s := &r.Service
@@ -291,10 +287,6 @@
 	add := func(member string, value any, rule string) {
 		out = append(out, schema.Violation{Path: path + "/" + member, Value: fmt.Sprint(value), Rule: rule})
 	}
-	if maxInstancesPerConnection*s.Connections.PerBackend < s.InstanceCeiling {
-		add("connections/perBackend", s.Connections.PerBackend,
-			fmt.Sprintf("must be at least 1/%d of instanceCeiling (%d), so that the entries can share the backend servers", maxInstancesPerConnection, s.InstanceCeiling))
-	}
 	if s.Keys.GrantMS >= s.Keys.LifetimeMS {
 		add("keys/grantMs", s.Keys.GrantMS, fmt.Sprintf("must be below keys.lifetimeMs (%d)", s.Keys.LifetimeMS))
 	}
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -42,6 +42,9 @@
 	Idempotent  bool   `json:"idempotent"`
 	MaxAttempts int    `json:"maxAttempts"` // backend servers that may still receive the request
 	TimeoutMS   int64  `json:"timeoutMs"`   // until the deadline of the caller
+	// AttemptTimeoutMS is the time limit of one attempt if the route states one; 0: that
+	// of the service.
+	AttemptTimeoutMS int `json:"attemptTimeoutMs,omitempty"`
 }
 
 // handOn hands the request to peers, one after another, until one takes it. It returns
@@ -98,8 +101,8 @@
 // handoffHeader returns the header of the request to a peer.
 func (c *call) handoffHeader() http.Header {
 	text, err := json.Marshal(handoff{
-		Service: c.svc.name, Idempotent: c.isIdempotent(), MaxAttempts: max(1, c.maxAttempts()-c.reachedServers()),
-		TimeoutMS: time.Until(c.deadline).Milliseconds(),
+		Service: c.svc.name, Idempotent: c.isIdempotent(), MaxAttempts: min(max(1, c.maxAttempts()-c.reachedServers()), maxHandoffAttempts),
+		TimeoutMS: time.Until(c.deadline).Milliseconds(), AttemptTimeoutMS: c.routeAttemptTimeoutMS(),
 	})
 	if err != nil {
 		panic(err) // cannot happen: the struct has only strings and numbers
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -19,12 +19,9 @@
 	"lentilpin/pkg/quarantine"
 )
 
-// maxHandoffAttempts and maxHandoffTimeout bound what a peer states, as the schema of the
-// settings does.
-const (
-	maxHandoffAttempts = 10
-	maxHandoffTimeout  = 10 * time.Minute
-)
+// maxHandoffAttempts bounds the attempts that an instance states to a peer, whatever the
+// route allows: older builds refuse more.
+const maxHandoffAttempts = 10
 
 // maxHandoffConnections bounds the connections that an instance accepts for requests of
 // peers, so that they cannot use up its file descriptors.
@@ -89,7 +86,8 @@
 func (c *call) resolveHandedOn() (result, bool) {
 	var h handoff
 	err := json.Unmarshal([]byte(c.r.Header.Get(handoffHeader)), &h)
-	if err != nil || h.MaxAttempts < 1 || h.MaxAttempts > maxHandoffAttempts || h.TimeoutMS < 1 || h.TimeoutMS > maxHandoffTimeout.Milliseconds() {
+	if err != nil || h.MaxAttempts < 1 || h.MaxAttempts > maxHandoffAttempts || h.TimeoutMS < 1 || h.TimeoutMS > dynamic.MaxMillis ||
+		h.AttemptTimeoutMS < 0 || h.AttemptTimeoutMS > dynamic.MaxMillis {
 		return notRunResult(http.StatusBadRequest, reasonMalformed, "the peer's description of the request is invalid"), false
 	}
 	c.handoff = &h
--- a/pkg/gateway/idempotent.go
+++ b/pkg/gateway/idempotent.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lentilpin/pkg/audit"
-	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/routing"
 )
 
@@ -19,13 +18,17 @@
 		return c.handOnOrRefuse(ctx)
 	}
 	c.svc.retryBudget.RecordFirstAttempt(c.g.now())
-	ic := &idempotentCall{call: c, ctx: ctx, results: make(chan *attempt, c.maxAttempts())}
+	ic := &idempotentCall{call: c, ctx: ctx, results: make(chan *attempt, bufferedAttempts)}
 	if res := ic.startNextAttempt(); res != nil {
 		return c.lastResort(ctx, *res)
 	}
 	return ic.waitForResponse()
 }
 
+// bufferedAttempts is the number of finished attempts of one request that need not wait
+// until they are read. Most requests have at most two; a route may allow any number.
+const bufferedAttempts = 2
+
 // idempotentCall is the state of one idempotent request. It is used only by the
 // goroutine of waitForResponse; the goroutines of the attempts send to results.
 type idempotentCall struct {
@@ -69,7 +72,7 @@
 	ic.tried = append(ic.tried, server)
 	ic.attemptCount++
 	go func() {
-		ic.results <- ic.sendAttempt(ctx, server, dynamic.MillisToDuration(ic.settings.AttemptTimeoutMS))
+		ic.results <- ic.sendAttempt(ctx, server, ic.attemptTimeout())
 	}()
 }
 
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -8,6 +8,7 @@
 
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/outlier"
+	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/transport"
 )
@@ -86,7 +87,7 @@
 	ctx, cancel := context.WithTimeout(ctx, internalRequestTimeout)
 	defer cancel()
 	resp, failure := s.pool.Do(ctx, server.Address(), &transport.Request{
-		Method: http.MethodGet, Target: path, Host: server.Address(), Idempotent: true,
+		Method: http.MethodGet, Target: route.EscapePath(path), Host: server.Address(), Idempotent: true,
 		ExpectedInstance: server.ID(), Probe: true,
 	})
 	s.observeReach(server, failure, true)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -200,6 +201,23 @@
 	return c.settings.Retry.MaxAttempts
 }
 
+// attemptTimeout returns the time limit of one attempt of an idempotent request.
+func (c *call) attemptTimeout() time.Duration {
+	return dynamic.MillisToDuration(cmp.Or(c.routeAttemptTimeoutMS(), c.settings.AttemptTimeoutMS))
+}
+
+// routeAttemptTimeoutMS returns the time limit that the route states, or 0. A peer that
+// has handed the request on has resolved the route.
+func (c *call) routeAttemptTimeoutMS() int {
+	switch {
+	case c.handoff != nil:
+		return c.handoff.AttemptTimeoutMS
+	case c.route != nil:
+		return c.route.AttemptTimeoutMS
+	}
+	return 0
+}
+
 // refuseBeforeClaim refuses a request before its key was claimed. Without a key
 // nothing ran. With a key, an earlier request with that key may have run, which
 // only the owner of the key knows.
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -12,7 +12,9 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/audit"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/quarantine"
+	"lentilpin/pkg/route"
 )
 
 // resolve validates the request, finds its service, sets the deadline and reads
@@ -94,8 +96,8 @@
 		return readinessTimeout
 	}
 	wait := startTimeout
-	if ms, err := strconv.ParseUint(c.r.Header.Get(c.config.timeout), 10, 31); err == nil {
-		wait = min(wait, time.Duration(startWaitShare*float64(ms)*float64(time.Millisecond)))
+	if timeout, ok := parseTimeout(c.r.Header.Get(c.config.timeout)); ok {
+		wait = min(wait, time.Duration(startWaitShare*float64(timeout)))
 	}
 	return max(wait, readinessTimeout)
 }
@@ -112,7 +114,7 @@
 		}
 		return result{}, true
 	}
-	c.route = routes.Lookup(c.r.Host, c.r.URL.EscapedPath())
+	c.route = routes.Lookup(c.r.Host, requestPath(c.r))
 	if c.route == nil {
 		return c.refuseBeforeClaim(http.StatusNotFound, reasonUnknownRoute, "no route for this host and path"), false
 	}
@@ -123,17 +125,27 @@
 	return result{}, true
 }
 
+// requestPath returns the path of a request as it was sent, in the form of
+// route.EscapePath. The path in r.URL may be encoded in another way.
+func requestPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") { // an absolute URL or, without a server, none
+		path = r.URL.EscapedPath()
+	}
+	return route.EscapePath(path)
+}
+
 func (c *call) resolveDeadline() (result, bool) {
 	timeout := c.settings.Timeout()
 	if c.route != nil && c.route.TimeoutMS > 0 {
 		timeout = c.route.Timeout()
 	}
 	if value := c.r.Header.Get(c.config.timeout); value != "" {
-		ms, err := strconv.ParseUint(value, 10, 31)
-		if err != nil || ms == 0 {
+		stated, ok := parseTimeout(value)
+		if !ok || stated == 0 {
 			return c.refuseBeforeClaim(http.StatusBadRequest, reasonMalformed, c.config.timeout+" must be a positive whole number of milliseconds"), false
 		}
-		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+		timeout = min(timeout, stated)
 	}
 	c.deadline = c.startTime.Add(timeout)
 	if c.outlivesDrain() {
@@ -146,6 +158,16 @@
 	return result{}, true
 }
 
+// parseTimeout parses a whole number of milliseconds. Numbers above dynamic.MaxMillis
+// count as that.
+func parseTimeout(value string) (time.Duration, bool) {
+	ms, err := strconv.ParseUint(value, 10, 64)
+	if errors.Is(err, strconv.ErrRange) {
+		ms, err = dynamic.MaxMillis, nil
+	}
+	return time.Duration(min(ms, dynamic.MaxMillis)) * time.Millisecond, err == nil
+}
+
 // readBody reads the complete request body, up to the size limit, before the
 // first byte is sent to a backend server. The fingerprint of the key needs the
 // complete body, and a caller that disconnects halfway has then caused no work.
--- a/pkg/gateway/snapshot.go
+++ b/pkg/gateway/snapshot.go
@@ -14,7 +14,7 @@
 type snapshot struct {
 	hasSettings bool // false until the first settings tree: routes and services are unknown
 	byName      map[string]*service
-	list        []*service // sorted by name
+	list        []*service   // sorted by name
 	routes      *route.Table // nil: the first path segment names the service
 	callers     *callerConfig
 	version     uint64
--- a/pkg/route/route_test.go
+++ b/pkg/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"strings"
 	"testing"
 
@@ -42,6 +43,26 @@
 	require.Nil(t, (*Table)(nil).Lookup("a.example", "/"))
 }
 
+// Guards against a prefix that is compared in another form than the path of a request.
+func TestLookupOfUnusualPrefixes(t *testing.T) {
+	table := NewTable(nil, []dynamic.Route{singleServiceRoute("h", "/ä b/", "s"), singleServiceRoute("h", "/a|b%2f/", "s")})
+	table = NewTable(table, []dynamic.Route{singleServiceRoute("h", "/ä b/", "s"), singleServiceRoute("h", "/a|b%2f/", "s")})
+	for _, path := range []string{"/ä b/1", "/%C3%A4%20b/1", "/a|b%2f/"} {
+		require.NotNil(t, table.Lookup("h", EscapePath(path)), path)
+	}
+	require.Nil(t, table.Lookup("h", EscapePath("/ä/1")))
+}
+
+// Guards against weights whose sum is beyond the range of a float64.
+func TestSplitOfLargeWeights(t *testing.T) {
+	split := NewSplit([]dynamic.WeightedService{{Service: "a", Weight: math.MaxFloat64}, {Service: "b", Weight: math.MaxFloat64}})
+	counts := map[string]int{}
+	for range 1000 {
+		counts[split.Next()]++
+	}
+	require.InDelta(t, 500, counts["a"], 5)
+}
+
 // Guards against a lookup that differs from a search of all routes.
 func TestLookupEqualsSearchOfAllRoutes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/route/split.go
+++ b/pkg/route/split.go
@@ -24,19 +24,18 @@
 // requests unless all weights are 0; all shares are then equal.
 func NewSplit(shares []dynamic.WeightedService) *Split {
 	s := &Split{}
+	largest := 0.0
+	for _, share := range shares {
+		largest = max(largest, share.Weight)
+	}
+	// The sum of the weights themselves can exceed the range of float64.
 	total := 0.0
 	for _, share := range shares {
-		total += share.Weight
+		total += relativeWeight(share.Weight, largest)
 	}
 	sum := 0.0
 	for _, share := range shares {
-		weight := share.Weight
-		if total == 0 {
-			weight = 1 / float64(len(shares))
-		} else {
-			weight /= total
-		}
-		sum += weight
+		sum += relativeWeight(share.Weight, largest) / total
 		s.services = append(s.services, share.Service)
 		s.upper = append(s.upper, scaleToUint64(sum))
 	}
@@ -45,6 +44,14 @@
 	return s
 }
 
+// relativeWeight returns a weight relative to the largest one, or 1 if all are 0.
+func relativeWeight(weight, largest float64) float64 {
+	if largest == 0 {
+		return 1
+	}
+	return weight / largest
+}
+
 // scaleToUint64 scales x, from 0 to 1, to the range of uint64.
 func scaleToUint64(x float64) uint64 {
 	if x >= 1 {
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -61,8 +61,9 @@
 		h = &hostRoutes{byPrefix: map[string]*Route{}}
 		t.hosts[host] = h
 	}
-	h.byPrefix[r.PathPrefix] = r
-	h.maxPrefix = max(h.maxPrefix, len(r.PathPrefix))
+	prefix := EscapePath(r.PathPrefix)
+	h.byPrefix[prefix] = r
+	h.maxPrefix = max(h.maxPrefix, len(prefix))
 }
 
 func (t *Table) findRoute(host, prefix string) *Route {
@@ -70,13 +71,13 @@
 		return nil
 	}
 	if h := t.hosts[strings.ToLower(host)]; h != nil {
-		return h.byPrefix[prefix]
+		return h.byPrefix[EscapePath(prefix)]
 	}
 	return nil
 }
 
 // Lookup returns the route with the longest matching prefix for host and path,
-// or nil. Case and port of host are ignored.
+// or nil. Case and port of host are ignored. path is in the form of EscapePath.
 func (t *Table) Lookup(host, path string) *Route {
 	if t == nil {
 		return nil
--- a/pkg/routing/subset/subset_test.go
+++ b/pkg/routing/subset/subset_test.go
@@ -44,6 +44,19 @@
 	})
 }
 
+// Guards against instances without a backend server where a backend server accepts few
+// connections: its limit is a fact that no setting changes.
+func TestFewConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maxInstances := rapid.IntRange(2, 200).Draw(t, "ceiling")
+		connections := rapid.IntRange(1, maxInstances).Draw(t, "connections")
+		list := backends(rapid.IntRange(1, 40).Draw(t, "servers"), rapid.IntRange(0, 20000).Draw(t, "first"))
+		for ordinal := range maxInstances {
+			require.NotEmpty(t, Select(list, ordinal, maxInstances, connections))
+		}
+	})
+}
+
 // Guards against an added backend server that changes which of the other backend
 // servers an instance uses.
 func TestAddedBackendKeepsOtherSelections(t *testing.T) {
