Decide once where each request on a connection ends

Cause: the check looked at bytes beside the parser of net/http and missed heads that it did not expect: pipelined ones and lines that end with a line feed.

Change: package framing reads each byte of a connection once and passes on requests of certain framing only, written anew, also on the listener for peers. Requests go to the gateway without the router, which refused methods that it does not know, and with the target as it was sent; OPTIONS * is no longer answered by net/http.

--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -24,32 +24,14 @@
 	listener *listener
 }
 
-// NewServer returns a server that serves h on l. It replaces the hooks ConnState and
-// ConnContext of h, which are called with the connections that l has accepted.
+// NewServer returns a server that serves h on l. It replaces the hook ConnState of h.
 func NewServer(h *http.Server, l net.Listener) *Server {
 	s := &Server{http: h, listener: newListener(l)}
-	onState, onConn := h.ConnState, h.ConnContext
-	h.ConnState = func(c net.Conn, state http.ConnState) {
-		if onState != nil {
-			onState(accepted(c), state)
-		}
-		s.observeState(c, state)
-	}
-	if onConn != nil {
-		h.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return onConn(ctx, accepted(c)) }
-	}
+	h.ConnState = observeState
 	return s
 }
 
-// accepted returns the connection as the listener of NewServer has accepted it.
-func accepted(c net.Conn) net.Conn {
-	if wrapped, ok := c.(*conn); ok {
-		return wrapped.Conn
-	}
-	return c
-}
-
-func (s *Server) observeState(c net.Conn, state http.ConnState) {
+func observeState(c net.Conn, state http.ConnState) {
 	if wrapped, ok := c.(*conn); ok && state == http.StateIdle {
 		wrapped.setIdle(time.Now())
 	}
--- /dev/null
+++ b/pkg/framing/doc.go
@@ -0,0 +1,17 @@
+// Package framing decides once where each request on a connection ends.
+//
+// A server that takes one framing for decided and a parser that takes another run requests
+// that are hidden in others (request smuggling, RFC 9112, section 11.2). A Listener puts a
+// strict reader between the connection and net/http. It reads every byte of the
+// connection in order, so that no request is missed: pipelined, split over packets, or
+// behind a body. What it passes on is framed anew: each head has one Content-Length, one
+// Transfer-Encoding of chunked, or neither, each line ends with CRLF, and chunks have no
+// extensions and no trailers. net/http cannot read that in another way.
+//
+// A request whose framing is not certain is refused: its head is passed on with the field
+// ErrorField in place of its framing, and no further byte of the connection is. The
+// handler responds with 400 and closes the connection (see Error). If not even the first
+// line is that of a request, net/http refuses it.
+//
+// State: of one connection, at most one line.
+package framing
--- /dev/null
+++ b/pkg/framing/framing_test.go
@@ -0,0 +1,153 @@
+package framing
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const maxLineBytes = 300
+
+// read feeds a stream in pieces of at most size bytes and returns what net/http reads of
+// the result, a line for each request.
+func read(stream string, size int) (out []string, passedOn string) {
+	r := reader{maxLineBytes: maxLineBytes}
+	for len(stream) > 0 {
+		n := min(size, len(stream))
+		r.feed([]byte(stream[:n]))
+		stream = stream[n:]
+	}
+	in := bufio.NewReader(bytes.NewReader(r.out))
+	for {
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			if !errors.Is(err, io.EOF) {
+				out = append(out, "no request")
+			}
+			return out, string(r.out)
+		}
+		if _, isUncertain := Error(request); isUncertain {
+			return append(out, "refused "+request.RequestURI), string(r.out)
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return append(out, "broken body of "+request.RequestURI), string(r.out)
+		}
+		out = append(out, fmt.Sprintf("%s %s %q", request.Method, request.RequestURI, body))
+	}
+}
+
+// hidden is a request in the body of another one.
+const hidden = "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// Guards against requests that are hidden in others, and against a reader that depends on
+// how the bytes of a connection arrive.
+func TestReader(t *testing.T) {
+	head := func(fields string) string { return "POST /a HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n" }
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(hidden))
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	const second = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n"
+	whole := fmt.Sprintf("POST /a %q", hidden)
+	refusedA, none := []string{"refused /a"}, []string{"no request"}
+	broken := []string{"broken body of /a"}
+	for _, tt := range []struct {
+		desc, stream string
+		want         []string
+	}{
+		{"pipelined", second + second, []string{`GET /b ""`, `GET /b ""`}},
+		{"length", head(length) + hidden + second, []string{whole, `GET /b ""`}},
+		{"length of a method without a body", "GET /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\n" + hidden + second, []string{strings.Replace(whole, "POST", "GET", 1), `GET /b ""`}},
+		{"length 0", head("Content-Length: 0\r\n") + second, []string{`POST /a ""`, `GET /b ""`}},
+		{"no length", head("") + second, []string{`POST /a ""`, `GET /b ""`}},
+		{"length and chunks", head(length+chunked) + hidden, refusedA},
+		{"chunks and length", head(chunked+length) + "0\r\n\r\n" + hidden, refusedA},
+		{"the same behind another request", second + head(length+chunked) + "0\r\n\r\n" + hidden, []string{`GET /b ""`, "refused /a"}},
+		{"the same behind a body", head(length) + hidden + head(length+chunked) + "0\r\n\r\n" + hidden, []string{whole, "refused /a"}},
+		{"lengths that differ", head("Content-Length: 0\r\n"+length) + hidden, refusedA},
+		{"lengths that repeat", head(length+length) + hidden, refusedA},
+		{"length with a sign", head("Content-Length: +5\r\n") + "12345", refusedA},
+		{"length below 0", head("Content-Length: -1\r\n") + second, refusedA},
+		{"list of lengths", head("Content-Length: 5, 5\r\n") + "12345", refusedA},
+		{"length with a space inside", head("Content-Length: 3 4\r\n") + second, refusedA},
+		{"empty length", head("Content-Length:\r\n") + second, refusedA},
+		{"length beyond 63 bits", head("Content-Length: 18446744073709551615\r\n") + second, refusedA},
+		{"hexadecimal length", head("Content-Length: 0x5\r\n") + "12345", refusedA},
+		{"length with spaces around", head("Content-Length: \t 5 \r\n") + "12345" + second, []string{`POST /a "12345"`, `GET /b ""`}},
+		{"space before the colon", head("Content-Length : 5\r\n") + "12345", refusedA},
+		{"space before the colon of the encoding", head(length+"Transfer-Encoding : chunked\r\n") + hidden, refusedA},
+		{"folded line", head("X: a\r\n Content-Length: 5\r\n") + "12345", refusedA},
+		{"folded first field", "POST /a HTTP/1.1\r\n Host: h\r\n\r\n" + hidden, refusedA},
+		{"line without a colon", head("Content-Length\r\n") + hidden, refusedA},
+		{"control character in a name", head("Content-Length\x00: 5\r\n") + "12345", refusedA},
+		{"carriage return in a value", head("X: a\rTransfer-Encoding: chunked\r\n") + hidden, refusedA},
+		{"NUL in a value", head("X: a\x00b\r\n") + hidden, refusedA},
+		{"bare line feeds", strings.ReplaceAll(head(length+chunked), "\r\n", "\n") + "0\n\n" + hidden, none},
+		{"bare line feed behind a field", head("X: a\n"+length) + hidden, refusedA},
+		{"bare line feed at the end of the head", "POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\n" + hidden, refusedA},
+		{"chunks", head(chunked) + "5\r\n12345\r\n00A\r\n1234567890\r\n0\r\n\r\n" + second, []string{`POST /a "123451234567890"`, `GET /b ""`}},
+		{"chunked in another case", head("transfer-ENCODING: ChUnKeD\r\n") + "1\r\nx\r\n0\r\n\r\n" + second, []string{`POST /a "x"`, `GET /b ""`}},
+		{"chunk extensions and trailers", head(chunked) + "5;a=b;c=\"d\"\r\n12345\r\n0;x\r\nContent-Length: 3\r\nX: y\r\n\r\n" + second, []string{`POST /a "12345"`, `GET /b ""`}},
+		{"other coding", head("Transfer-Encoding: gzip\r\n") + hidden, refusedA},
+		{"chunked behind another coding", head("Transfer-Encoding: gzip, chunked\r\n") + "0\r\n\r\n" + hidden, refusedA},
+		{"chunked before another coding", head("Transfer-Encoding: chunked, identity\r\n") + hidden, refusedA},
+		{"chunked twice", head(chunked+chunked) + "0\r\n\r\n" + hidden, refusedA},
+		{"chunked with a parameter", head("Transfer-Encoding: chunked;q=1\r\n") + "0\r\n\r\n" + hidden, refusedA},
+		{"chunked in HTTP/1.0", "POST /a HTTP/1.0\r\n" + chunked + "\r\n0\r\n\r\n" + hidden, refusedA},
+		{"HTTP/1.0 with a kept connection", "POST /a HTTP/1.0\r\nConnection: keep-alive\r\nContent-Length: 1\r\n\r\nx" + second, []string{`POST /a "x"`, `GET /b ""`}},
+		{"size of a chunk with a sign", head(chunked) + "+5\r\n12345\r\n0\r\n\r\n", broken},
+		{"size of a chunk with 0x", head(chunked) + "0x5\r\n12345\r\n0\r\n\r\n", broken},
+		{"size of a chunk with a space", head(chunked) + "5 \r\n12345\r\n0\r\n\r\n", broken},
+		{"empty size of a chunk", head(chunked) + "\r\n12345\r\n0\r\n\r\n", broken},
+		{"size of a chunk beyond 64 bits", head(chunked) + "10000000000000005\r\n12345\r\n0\r\n\r\n" + hidden, broken},
+		{"chunk that is longer than its size", head(chunked) + "5\r\n123456\r\n0\r\n\r\n" + hidden, broken},
+		{"bare line feed behind the size of a chunk", head(chunked) + "5\n12345\r\n0\r\n\r\n" + hidden, broken},
+		{"bare line feed in an extension", head(chunked) + "5;\n12345\r\n0\r\n\r\n" + hidden, broken},
+		{"bare line feed behind a chunk", head(chunked) + "5\r\n12345\n0\r\n\r\n" + hidden, broken},
+		{"trailer that is no field", head(chunked) + "0\r\nGET /hidden HTTP/1.1\r\n\r\n", broken},
+		{"long line before a chunk", head(chunked) + "5;" + strings.Repeat("x", maxChunkLineBytes+1), broken},
+		{"long trailer", head(chunked) + "0\r\nX: " + strings.Repeat("x", maxLineBytes), broken},
+		{"many trailers", head(chunked) + "0\r\n" + strings.Repeat("X: y\r\n", maxLineBytes) + "\r\n" + hidden, broken},
+		{"expectation", head("Expect: 100-continue\r\nContent-Length: 2\r\n") + "ok" + second, []string{`POST /a "ok"`, `GET /b ""`}},
+		{"upgrade", head("Connection: upgrade\r\nUpgrade: websocket\r\n") + second, []string{`POST /a ""`, `GET /b ""`}},
+		{"mark of the reader", head(ErrorField+": no\r\nContent-Length: 1\r\n") + "x", []string{`POST /a "x"`}},
+		{"empty line before a request", "\r\n" + second, none},
+		{"two spaces", "GET  /b HTTP/1.1\r\nHost: h\r\n\r\n", none},
+		{"space in the target", "GET /b c HTTP/1.1\r\nHost: h\r\n\r\n", none},
+		{"space behind the version", "GET /b HTTP/1.1 \r\nHost: h\r\n\r\n", none},
+		{"no version", "GET /b\r\nHost: h\r\n\r\n", none},
+		{"another version", "GET /b HTTP/2.0\r\nHost: h\r\n\r\n", none},
+		{"method with a colon", "GE:T /b HTTP/1.1\r\nHost: h\r\n\r\n", none},
+		{"bytes outside RFC 3986 in the target", "GET /a|b\xff HTTP/1.1\r\nHost: h\r\n\r\n", []string{`GET /a|b` + "\xff" + ` ""`}},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			want, passedOn := read(tt.stream, len(tt.stream))
+			require.Equal(t, tt.want, want)
+			for size := 1; size < 8; size++ {
+				got, same := read(tt.stream, size)
+				require.Equal(t, want, got, "pieces of %d bytes", size)
+				require.Equal(t, passedOn, same, "pieces of %d bytes", size)
+			}
+		})
+	}
+}
+
+// Guards against a line of a head that is kept without bound, and against a refusal by
+// the server that is missing because of it.
+func TestOverlongLine(t *testing.T) {
+	r := reader{maxLineBytes: maxLineBytes}
+	r.feed([]byte("GET /a HTTP/1.1\r\nX: "))
+	for range 100 {
+		r.feed([]byte(strings.Repeat("y\r", 50)))
+		require.LessOrEqual(t, len(r.line), maxLineBytes+100)
+	}
+	require.Greater(t, len(r.out), 90*100, "net/http counts the bytes of a head")
+	r.feed([]byte("\r\n\r\n" + hidden))
+	require.NotContains(t, string(r.out), "hidden")
+}
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -16,6 +16,7 @@
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/drain"
+	"lentilpin/pkg/framing"
 	"lentilpin/pkg/quarantine"
 )
 
@@ -30,13 +31,13 @@
 // NewHandoffServer returns the HTTP server for requests that peers hand on, on l.
 func NewHandoffServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
 	return drain.NewServer(&http.Server{
-		Handler:           http.HandlerFunc(g.serveHandedOn),
+		Handler:           closeIfUncertain(http.HandlerFunc(g.serveHandedOn)),
 		MaxHeaderBytes:    limits.MaxHeaderBytes + handoffHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
-	}, netutil.LimitListener(l, maxHandoffConnections))
+	}, framing.NewListener(netutil.LimitListener(l, maxHandoffConnections), limits.MaxHeaderBytes+handoffHeaderBytes))
 }
 
 // handoffHeaderBytes is the size of the fields that the first instance adds.
@@ -84,6 +85,9 @@
 // resolveHandedOn takes over what the peer has resolved and reads the body. It returns
 // false and the refusal if the request cannot be served here.
 func (c *call) resolveHandedOn() (result, bool) {
+	if detail, isUncertain := framing.Error(c.r); isUncertain {
+		return notRunResult(http.StatusBadRequest, reasonMalformed, detail), false
+	}
 	var h handoff
 	err := json.Unmarshal([]byte(c.r.Header.Get(handoffHeader)), &h)
 	if err != nil || h.MaxAttempts < 1 || h.MaxAttempts > maxHandoffAttempts || h.TimeoutMS < 1 || h.TimeoutMS > dynamic.MaxMillis ||
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -13,6 +13,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/framing"
 	"lentilpin/pkg/quarantine"
 	"lentilpin/pkg/route"
 )
@@ -23,9 +24,8 @@
 	if c.config.MaxHeaderBytes > 0 && headerBytes(c.r) > c.config.MaxHeaderBytes {
 		return c.refuseBeforeClaim(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge, "the header is longer than maxHeaderBytes"), false
 	}
-	if hasConflictingLengths(c.r) {
-		c.w.Header().Set("Connection", "close")
-		return c.refuseBeforeClaim(http.StatusBadRequest, reasonMalformed, "the request has both Content-Length and Transfer-Encoding"), false
+	if detail, isUncertain := framing.Error(c.r); isUncertain {
+		return c.refuseBeforeClaim(http.StatusBadRequest, reasonMalformed, detail), false
 	}
 	if ok, reason := c.waitUntilReady(); !ok {
 		if c.r.Context().Err() != nil {
@@ -40,7 +40,7 @@
 	if res, ok := c.resolveDeadline(); !ok {
 		return res, false
 	}
-	c.target = c.r.URL.RequestURI()
+	c.target = requestTarget(c.r)
 	if res, ok := c.readBody(); !ok {
 		return res, false
 	}
@@ -125,13 +125,18 @@
 	return result{}, true
 }
 
-// requestPath returns the path of a request as it was sent, in the form of
-// route.EscapePath. The path in r.URL may be encoded in another way.
-func requestPath(r *http.Request) string {
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	if !strings.HasPrefix(path, "/") { // an absolute URL or, without a server, none
-		path = r.URL.EscapedPath()
+// requestTarget returns the path and the query of a request as they were sent. Those in
+// r.URL may be encoded in another way.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
 	}
+	return r.URL.RequestURI() // of an absolute URL
+}
+
+// requestPath returns the path of a request in the form of route.EscapePath.
+func requestPath(r *http.Request) string {
+	path, _, _ := strings.Cut(requestTarget(r), "?")
 	return route.EscapePath(path)
 }
 
@@ -191,6 +196,7 @@
 	case errors.As(err, &tooLarge):
 		return c.refuseBeforeClaim(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
 	case err != nil:
+		c.w.Header().Set("Connection", "close")
 		return c.refuseBeforeClaim(http.StatusBadRequest, reasonBodyIncomplete, "the body did not arrive whole"), false
 	}
 	c.body = body
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -14,6 +14,7 @@
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/drain"
+	"lentilpin/pkg/framing"
 )
 
 // maxKeysPerRequest is the maximum number of keys that one request to keysPath
@@ -31,28 +32,42 @@
 // NewServer returns the HTTP server for callers on l, with the given limits. The error
 // log of the server is discarded because callers can cause any number of lines in it.
 func NewServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
-	limited := framingListener{netutil.LimitListener(l, limits.MaxConnections), limits.MaxHeaderBytes}
-	return drain.NewServer(newCallerServer(g, limits), limited)
+	limited := netutil.LimitListener(l, limits.MaxConnections)
+	return drain.NewServer(newCallerServer(g, limits), framing.NewListener(limited, limits.MaxHeaderBytes))
 }
 
 func newCallerServer(g *Gateway, limits static.Limits) *http.Server {
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.POST(keysPath, g.issueKeys)
-	e.Any("/*", func(c echo.Context) error {
-		g.ServeHTTP(c.Response(), c.Request())
-		return nil
-	})
-	server := &http.Server{
-		Handler:           e,
+	return &http.Server{
+		Handler: closeIfUncertain(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && r.URL.Path == keysPath {
+				e.ServeHTTP(w, r)
+				return
+			}
+			// echo would refuse methods that it doesn't know, and targets without a path.
+			g.ServeHTTP(w, r)
+		})),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
+		// net/http would answer OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
 	}
-	installFramingInspection(server)
-	return server
+}
+
+// closeIfUncertain closes the connection after a request whose framing is not certain,
+// whatever responds to it.
+func closeIfUncertain(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, isUncertain := r.Header[framing.ErrorField]; isUncertain {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 type discardWriter struct{}
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -213,9 +214,11 @@
 		if f == CloseUnread {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
+		req.Body = io.NopCloser(bytes.NewReader(body))
 		b.mu.Lock()
 		b.requests = append(b.requests, req)
 		if !isInternal(req) {
