Drop log lines that are written after the log writer was closed

Case: a request that ends while the process exits logs its end. Cause: Close closed the channel that Write sends on. Change: Write drops and counts lines after Close. Evidence: TestWriteAfterClose panics before the change (send on closed channel).

--- a/pkg/events/writer.go
+++ b/pkg/events/writer.go
@@ -23,7 +23,9 @@
 	out     io.Writer
 	dropped atomic.Uint64
 	done    chan struct{}
-	close   sync.Once
+
+	mu       sync.RWMutex
+	isClosed bool // lines is closed
 }
 
 // NewWriter returns a Writer that writes to out. The caller must call Close to end
@@ -35,8 +37,15 @@
 }
 
 // Write buffers a copy of p, which must be one line. It never blocks and never
-// returns an error. Write implements io.Writer.
+// returns an error. Lines after Close are dropped, because requests may still end
+// while the process exits. Write implements io.Writer.
 func (w *Writer) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.isClosed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), p...):
 	default:
@@ -48,10 +57,14 @@
 // Dropped returns the number of lines dropped so far.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
-// Close waits at most 1 s until the buffered lines are written. Write must not be
-// called after Close.
+// Close waits at most 1 s until the buffered lines are written.
 func (w *Writer) Close() {
-	w.close.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.isClosed {
+		w.isClosed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout):
--- a/pkg/events/writer_test.go
+++ b/pkg/events/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 
@@ -50,3 +51,24 @@
 	require.Equal(t, "a\nb\n", out.String())
 	require.Zero(t, w.Dropped())
 }
+
+// Guards against a panic of requests that end while the process exits and log their end
+// after the writer was closed.
+func TestWriteAfterClose(t *testing.T) {
+	w := NewWriter(io.Discard)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 200 {
+				_, err := w.Write([]byte("line\n"))
+				require.NoError(t, err)
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	dropped := w.Dropped()
+	_, _ = w.Write([]byte("line\n"))
+	require.Equal(t, dropped+1, w.Dropped())
+	w.Close()
+}
