Pass requests on as callers sent them

Callers saw: an Idempotency-Key of their own got 422, Connection: Request-Id gave the request another identifier, and closing the sending side gave an empty 200 that no backend server sent.

Cause: any value was taken for a key of this system; fields named in Connection were removed before the identifier was read; a handler that takes its caller for gone wrote nothing, which net/http completes to 200.

Change: keys are claimed only in the form that the system issues, unless the service requires keys; the identifier is read from the request as received; such a caller gets 502, or 503 if nothing ran.

--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -110,7 +110,9 @@
 	h := c.r.Header.Clone()
 	h.Set(handoffHeader, string(text))
 	h.Set(peerSecretHeader, c.g.options.PeerSecret)
-	h.Del(idempotencyKeyHeader) // this instance has claimed the key
+	if c.grant != nil {
+		h.Del(idempotencyKeyHeader) // this instance has claimed the key
+	}
 	return h
 }
 
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -27,6 +27,9 @@
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(callerCtx), c.deadline)
 	defer cancel()
 	key := c.r.Header.Get(idempotencyKeyHeader)
+	if !c.settings.RequireKey && !ledger.HasKeyForm(key) {
+		key = "" // it means something to the backend servers only, if at all
+	}
 	if key == "" {
 		if c.settings.RequireKey {
 			return notRunResult(http.StatusPreconditionRequired, reasonKeyRequired, "send the request again with the key in "+keyHeader)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -51,7 +51,7 @@
 	c.config = c.activeSnapshot.callers
 	idGiven := c.assignID()
 	c.record = audit.Record{RequestID: c.id, Method: r.Method, Start: c.startTime, KeyState: keyStateNone}
-	if r.Header.Get(idempotencyKeyHeader) != "" {
+	if ledger.HasKeyForm(r.Header.Get(idempotencyKeyHeader)) {
 		c.record.KeyState = keyStateOpen
 	}
 	w.Header().Set(c.config.requestID, c.id)
@@ -92,6 +92,9 @@
 		c.w.Header().Set(runHeader, string(res.run))
 		writeProblem(c.w, c.config, c.id, res)
 	}
+	if res.outcome == audit.OutcomeAborted && res.status == 0 {
+		c.answerGoneCaller(res)
+	}
 	c.record.Outcome, c.record.Run, c.record.Reason = res.outcome, res.run, res.reason
 	c.record.Status, c.record.KeyState = res.status, res.keyState
 	c.record.Duration = time.Since(c.startTime)
@@ -109,6 +112,18 @@
 	}
 }
 
+// answerGoneCaller responds to a caller that is taken for gone before a response has
+// begun. It may have closed only its sending side, and net/http would send an empty 200.
+func (c *call) answerGoneCaller(res result) {
+	res.status, res.detail = http.StatusBadGateway, "the caller has closed its side of the connection"
+	if res.run == audit.NotRun {
+		res.status = http.StatusServiceUnavailable
+	}
+	c.w.Header().Set("Connection", "close")
+	c.w.Header().Set(runHeader, string(res.run))
+	writeProblem(c.w, c.config, c.id, res)
+}
+
 // reportLostOutcome logs a non-idempotent request whose caller did not learn
 // the outcome.
 func (c *call) reportLostOutcome(res result) {
--- a/pkg/ledger/key.go
+++ b/pkg/ledger/key.go
@@ -129,6 +129,17 @@
 	return string(s.text[:n])
 }
 
+// HasKeyForm reports whether text may be a key that some process has issued. Its
+// signature is not checked.
+func HasKeyForm(text string) bool {
+	b, err := base64.RawURLEncoding.DecodeString(text)
+	if err != nil || len(b) != ipv4KeyBytes && len(b) != ipv6KeyBytes {
+		return false
+	}
+	var k issuedKey
+	return k.parse(b[:len(b)-macBytes])
+}
+
 // verify decodes the text form of a key. It returns false unless the text is
 // the exact output of sign for one of the secrets.
 func (k *Keyring) verify(text string) (key issuedKey, ok bool) {
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -194,11 +194,13 @@
 // none.
 func (b *buffers) setIdentityFields(r *Request, names *fieldNames, nextID func() string) {
 	b.exchange[0] = ""
-	switch received := b.header[names.exchange]; {
+	// A caller may name the field in Connection, but backend servers need it.
+	switch received := r.Header[names.exchange]; {
 	case r.Probe && !names.internalExchange:
 		delete(b.header, names.exchange)
 	case !names.internalExchange && len(received) == 1 && received[0] != "":
 		b.exchange[0] = received[0]
+		b.header[names.exchange] = received
 	default:
 		b.exchange[0] = nextID()
 		b.header[names.exchange] = b.exchange[:]
