--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -84,6 +84,13 @@
 	Tree(ctx context.Context) (version uint64, text []byte, err error)
 }
 
+// HeldUpNotifier is a Store that tells when a reply in progress is held up by values that
+// are neither a settings tree nor a registration. The settings tree is then read apart.
+type HeldUpNotifier interface {
+	// NotifyHeldUp sets the function to call, which returns at once.
+	NotifyHeldUp(f func())
+}
+
 // PeerRequest is a request for changes to a peer.
 type PeerRequest struct {
 	After Position // the zero Position: all keys at once
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -154,6 +154,7 @@
 	lastReplyLarge  bool          // whether the store's last reply held a large settings tree
 	announced       chan struct{} // has a buffer of one; receives when a relay announces a tree
 	received        chan struct{} // has a buffer of one; receives when receivedTree is set
+	heldUp          chan struct{} // has a buffer of one; receives when a reply of the store is held up
 	decodeMu        sync.Mutex    // serializes the decoding of trees
 	calls           callCounts
 
@@ -177,7 +178,10 @@
 // NewReader returns a Reader. It starts to read on the first call of WatchTree or
 // WatchInstances.
 func NewReader(options Options) *Reader {
-	r := &Reader{options: options, changed: make(chan struct{}), relayBackoff: map[string]relayBackoff{}, announced: make(chan struct{}, 1), received: make(chan struct{}, 1)}
+	r := &Reader{options: options, changed: make(chan struct{}), relayBackoff: map[string]relayBackoff{}, announced: make(chan struct{}, 1), received: make(chan struct{}, 1), heldUp: make(chan struct{}, 1)}
+	if store, ok := options.Store.(HeldUpNotifier); ok {
+		store.NotifyHeldUp(func() { signal(r.heldUp) })
+	}
 	r.backends = newRegistrations(options.Translator, options.Recorder)
 	r.log.reset(Position{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
@@ -246,6 +250,7 @@
 		r.loops.Go(r.reportCalls)
 		r.loops.Go(r.decodeReceivedTrees)
 		r.loops.Go(r.fetchAnnouncedTrees)
+		r.loops.Go(r.fetchHeldUpTrees)
 	})
 	for {
 		r.mu.Lock()
--- a/pkg/feed/trees.go
+++ b/pkg/feed/trees.go
@@ -18,6 +18,11 @@
 	// arrive through the exchange between entries, before it reads it from the
 	// store.
 	treeSpreadTime = 600 * time.Millisecond
+	// heldUpTime is how long after a reply of the store was held up the settings tree is
+	// read apart, and heldUpTreeInterval how often. Other writers renew their values about
+	// every two seconds, so that the next reply is held up too.
+	heldUpTime         = 3 * time.Second
+	heldUpTreeInterval = 700 * time.Millisecond
 )
 
 // takeTree returns changes without settings trees. The newest tree is decoded in the
@@ -37,14 +42,19 @@
 		r.mu.Lock()
 		r.receivedTree = newest
 		r.mu.Unlock()
-		select {
-		case r.received <- struct{}{}:
-		default:
-		}
+		signal(r.received)
 	}
 	return rest
 }
 
+// signal makes the next receive from a channel with a buffer of one return.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // decodeReceivedTrees decodes received trees and publishes them. A tree that is
 // received while another is decoded replaces those that wait.
 func (r *Reader) decodeReceivedTrees() {
@@ -118,10 +128,7 @@
 	r.mu.Lock()
 	r.announcedTree = max(r.announcedTree, version)
 	r.mu.Unlock()
-	select {
-	case r.announced <- struct{}{}:
-	default:
-	}
+	signal(r.announced)
 }
 
 // isTreeMissing reports whether an announced version is neither in force nor
@@ -153,6 +160,24 @@
 	}
 }
 
+// fetchHeldUpTrees reads the settings tree from the store while its replies are held up by
+// values of other writers, so that a new version does not wait for them.
+func (r *Reader) fetchHeldUpTrees() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.heldUp:
+		}
+		for end := time.Now().Add(heldUpTime); time.Now().Before(end); {
+			r.fetchTree()
+			if !clock.Sleep(r.ctx, heldUpTreeInterval) {
+				return
+			}
+		}
+	}
+}
+
 // fetchTree reads and publishes the settings tree of the store and reports
 // whether the store answered.
 func (r *Reader) fetchTree() bool {
--- a/pkg/feed/trees_test.go
+++ b/pkg/feed/trees_test.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -99,3 +100,46 @@
 	require.Equal(t, at, reply.TreesAt)
 	require.Len(t, reply.Changes, 1)
 }
+
+// heldUpStore is a store whose replies to polls do not end while isHeldUp is set.
+type heldUpStore struct {
+	*fakeStore
+	isHeldUp atomic.Bool
+	notify   func()
+}
+
+// NotifyHeldUp implements HeldUpNotifier.
+func (s *heldUpStore) NotifyHeldUp(f func()) { s.notify = f }
+
+func (s *heldUpStore) Changes(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error) {
+	if !s.isHeldUp.Load() {
+		return s.fakeStore.Changes(ctx, after, wait)
+	}
+	s.notify()
+	<-ctx.Done()
+	return nil, Position{}, ctx.Err()
+}
+
+// Guards against a settings tree that waits until a reply with large values of another
+// writer ends.
+func TestTreeWhileRepliesAreHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &heldUpStore{fakeStore: newFakeStore()}
+		store.put("tree", "0")
+		reader := NewReader(Options{Store: store, Translator: textStub{}, Recorder: events.Discard{}})
+		defer reader.Close()
+		_, _, err := reader.WatchTree(t.Context(), 0)
+		require.NoError(t, err)
+		store.isHeldUp.Store(true)
+		time.Sleep(propagationLimit) // the next poll is held up
+		for version := 2; version < 5; version++ {
+			store.put("tree", strings.Repeat("0", version))
+			time.Sleep(propagationLimit)
+			reader.mu.Lock()
+			published := reader.version
+			reader.mu.Unlock()
+			require.EqualValues(t, version, published)
+			store.notify() // by the reply in progress
+		}
+	})
+}
