--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -117,7 +117,12 @@
 			RequestsAddress: conf.Listen.Requests,
 		},
 		Client: e.peerClient, Store: e.settingsStore, Clock: systemClock, Recorder: e.recorder,
-		SeedAddresses: conf.SeedPeers, PeerState: e.gateway.PeerState(),
+		SeedAddresses: conf.SeedPeers, PeerState: e.gateway.PeerState(), MaxTreeBytes: conf.Limits.MaxTreeBytes,
+		OnUnusableTree: func(version uint64) {
+			if e.feed != nil {
+				e.feed.ExpectTree(version)
+			}
+		},
 	})
 	e.membershipRunner = membership.NewRunner(membership.RunnerOptions{
 		Platform: e.platform, Store: e.settingsStore, Table: e.memberTable, Clock: systemClock, Recorder: e.recorder,
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -96,7 +96,8 @@
 	After Position // the zero Position: all keys at once
 	// UnknownTree is the lowest version of a settings tree that the sender does not
 	// know. Trees are not part of the changes after a position: a large one is decoded
-	// while other changes are served. 0: not stated; the reply holds no tree.
+	// while other changes are served. 0: not stated, as by builds up to b3111bb, to which
+	// the tree is a change like others.
 	UnknownTree uint64
 	Wait        time.Duration // for a change
 }
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -160,14 +160,20 @@
 }
 
 // changesAfter returns the changes after a position, or the state of all keys for the
-// zero Position, together with the settings tree unless its version is below unknownTree
-// or unknownTree is 0. changed is closed at the next change. The error is ErrNotReader,
-// also if the log is of an earlier era, or ErrHistoryLost.
+// zero Position, together with the settings tree unless its version is below unknownTree.
+// If unknownTree is 0, the peer is of a build that doesn't state it, and expects the tree
+// among the changes: it gets only the changes up to the position up to which trees are
+// decoded. changed is closed at the next change. The error is ErrNotReader, also if the
+// log is of an earlier era, or ErrHistoryLost.
 func (l *changeLog) changesAfter(after Position, unknownTree uint64, now time.Time) (out PeerReply, changed chan struct{}, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out.At, out.TreesAt = l.position, l.decodedTreesAt()
-	if unknownTree > 0 && l.treeVersion >= unknownTree {
+	expectsTreeAmongChanges := unknownTree == 0
+	if expectsTreeAmongChanges {
+		out.At = earliest(out.At, out.TreesAt)
+	}
+	if l.treeVersion > 0 && (expectsTreeAmongChanges && l.tree.Revision > after.Revision || !expectsTreeAmongChanges && l.treeVersion >= unknownTree) {
 		out.Changes = append(out.Changes, l.tree)
 	}
 	switch {
@@ -184,7 +190,7 @@
 		return PeerReply{}, nil, ErrHistoryLost
 	}
 	for _, c := range l.changes {
-		if c.Revision > after.Revision {
+		if c.Revision > after.Revision && (!expectsTreeAmongChanges || c.Revision <= out.At.Revision) {
 			out.Changes = append(out.Changes, c)
 		}
 	}
--- a/pkg/feed/trees.go
+++ b/pkg/feed/trees.go
@@ -83,7 +83,7 @@
 	case c.Deleted:
 		return
 	case c.TreeVersion > 0:
-		r.expectTree(c.TreeVersion)
+		r.ExpectTree(c.TreeVersion)
 		r.log.setTree(c, c.TreeVersion)
 		return
 	}
@@ -122,9 +122,9 @@
 	})
 }
 
-// expectTree makes fetchAnnouncedTrees obtain a version that a relay has
-// announced.
-func (r *Reader) expectTree(version uint64) {
+// ExpectTree makes the Reader obtain a version that exists, for example one that a relay
+// has announced, unless it arrives otherwise.
+func (r *Reader) ExpectTree(version uint64) {
 	r.mu.Lock()
 	r.announcedTree = max(r.announcedTree, version)
 	r.mu.Unlock()
--- a/pkg/feed/trees_test.go
+++ b/pkg/feed/trees_test.go
@@ -74,7 +74,7 @@
 	}{
 		{"the newest tree alone", 1, []Change{{Key: "tree", Value: []byte("00"), Revision: 3}, {Key: "server/a", Value: []byte("stock 1"), Revision: 2}}},
 		{"the peer knows the tree", 3, []Change{{Key: "server/a", Value: []byte("stock 1"), Revision: 2}}},
-		{"the peer does not state what it knows", 0, []Change{{Key: "server/a", Value: []byte("stock 1"), Revision: 2}}},
+		{"the peer does not state what it knows", 0, []Change{{Key: "tree", Value: []byte("00"), Revision: 3}, {Key: "server/a", Value: []byte("stock 1"), Revision: 2}}},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			got, err := r.Serve(t.Context(), PeerRequest{UnknownTree: tt.unknownTree})
@@ -84,6 +84,41 @@
 	}
 }
 
+// Guards against a peer of a build up to b3111bb that never gets a settings tree from its
+// relay: it states no tree that it knows, and takes the tree for a change like others. In
+// an upgrade it went on with the configuration that it had.
+func TestRelayServesOlderBuilds(t *testing.T) {
+	for _, tt := range []struct {
+		desc  string
+		value string
+		want  Change // without key and revision
+	}{
+		{"small tree", "00", Change{Value: []byte("00")}},
+		{"large tree", strings.Repeat("0", largeTreeBytes), Change{TreeVersion: largeTreeBytes}},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			r := NewReader(Options{Translator: textStub{}, Recorder: events.Discard{}})
+			at := func(revision uint64) Position { return Position{Era: 1, Revision: revision} }
+			changes := []Change{{Key: "server/a", Value: []byte("stock 1"), Revision: 2}, {Key: "tree", Value: []byte(tt.value), Revision: 5}, {Key: "server/b", Value: []byte("stock 1"), Revision: 7}}
+			tree := tt.want
+			tree.Key, tree.Revision = "tree", 5
+			serve := func(after Position) PeerReply {
+				reply, err := r.Serve(t.Context(), PeerRequest{After: after})
+				require.NoError(t, err)
+				return reply
+			}
+			r.log.add(r.takeTree(changes), at(8), at(8))
+			r.log.recordAnswer(time.Now())
+			require.Equal(t, PeerReply{Changes: changes[:1], At: at(4), TreesAt: at(4)}, serve(at(1)), "the tree is being decoded: what follows it would move the peer past it")
+			require.Equal(t, PeerReply{At: at(4), TreesAt: at(4)}, serve(at(4)))
+			r.applyTree(*r.receivedTree)
+			require.Equal(t, PeerReply{Changes: []Change{tree, changes[2]}, At: at(8), TreesAt: at(8)}, serve(at(4)))
+			require.Equal(t, PeerReply{At: at(8), TreesAt: at(8)}, serve(at(8)))
+			require.ElementsMatch(t, []Change{tree, changes[0], changes[2]}, serve(Position{}).Changes, "the full state")
+		})
+	}
+}
+
 // Guards against a peer that takes a settings tree which its relay is still decoding for
 // known: if the relay then fails, the peer would never read that tree.
 func TestRelayStatesPositionOfDecodedTrees(t *testing.T) {
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -56,6 +56,10 @@
 	RandomSeed     uint64    // seed of random choices; 0: a random seed
 	BytesPerSecond float64   // send budget; 0: DefaultBytesPerSecond
 	MaxTreeBytes   int       // larger trees of peers are refused; 0: DefaultMaxTreeBytes
+	// OnUnusableTree is called with the version of a peer's tree that cannot be used here,
+	// so that the version is read elsewhere: the peer may be of another build. nil: none
+	// is to be told.
+	OnUnusableTree func(version uint64)
 }
 
 // peerReply holds what the last reply of a peer states about its settings.
@@ -436,7 +440,9 @@
 	out, err := t.options.Client.Tree(ctx, address, &peerpb.TreeRequest{Header: t.header(), MinVersion: version})
 	var text []byte
 	if err == nil {
-		text, err = decompressTree(out.Tree, t.options.MaxTreeBytes)
+		if text, err = decompressTree(out.Tree, t.options.MaxTreeBytes); err != nil {
+			t.reportUnusableTree(version)
+		}
 	}
 	if err != nil {
 		t.options.Recorder.Record(eventTreeFetchFailed, events.F("address", address), events.F("version", version), events.F("error", err.Error()))
@@ -445,6 +451,9 @@
 	// Further peers ask for the tree as soon as it is in force.
 	t.treeCache.keep(text, out.Tree)
 	result := t.options.Store.Offer(text, "peer "+address)
+	if result == settings.ResultInvalid {
+		t.reportUnusableTree(version)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.TreesFetched++
@@ -452,3 +461,9 @@
 		t.invalidDigest = out.GetHeader().GetDigest()
 	}
 }
+
+func (t *Table) reportUnusableTree(version uint64) {
+	if t.options.OnUnusableTree != nil {
+		t.options.OnUnusableTree(version)
+	}
+}
