Bound the memory of the bodies of all requests together

Cause: each body was read whole, up to its own limit, into a buffer that grows by copying; nothing bounded their sum.

A request waits for it for half of its time at most and is then refused as not run (body_memory).

--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -76,6 +76,9 @@
 	AuditRecords   int `json:"auditRecords"`   // default 5000
 	GCPercent      int `json:"gcPercent"`      // default 100; heap growth before a garbage collection, in percent of the live heap, as GOGC
 	MaxTreeBytes   int `json:"maxTreeBytes"`   // default 1048576
+	// BodyMemoryBytes is the memory that the bodies of all requests of callers may hold
+	// together; default 268435456. Requests wait for it, or are refused as not run.
+	BodyMemoryBytes int `json:"bodyMemoryBytes"`
 }
 
 // Shutdown holds the settings of a graceful shutdown.
@@ -93,7 +96,7 @@
 		LogLevel:      "info",
 		Limits: Limits{
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
-			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20,
+			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20, BodyMemoryBytes: 256 << 20,
 		},
 		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
 		Listen:   Listen{ReadyPath: "/readyz"},
--- a/pkg/gateway/bounds_test.go
+++ b/pkg/gateway/bounds_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -41,3 +43,34 @@
 		})
 	}
 }
+
+// Guards against a request that waits for memory until its deadline, that is refused as if
+// it might have run, or that keeps its memory, and against small requests that wait too.
+func TestRequestsWaitForBodyMemory(t *testing.T) {
+	runInVirtualTime(t, 2, func(t *testing.T, f *fixture) {
+		g := f.gateways[0]
+		large := func(token string) (response, time.Duration) {
+			r := httptest.NewRequest(http.MethodPost, "/shop/orders/"+token, strings.NewReader(strings.Repeat("x", 2*smallBodyBytes)))
+			r.Header.Set(pipe.TokenHeader, token)
+			r.Header.Set(idempotencyKeyHeader, f.owners[0].Issue(time.Minute))
+			r.Header.Set(timeoutHeader, "1000")
+			start := time.Now()
+			return f.send(g, r), time.Since(start)
+		}
+		taken, err := g.bodyMemory.Take(t.Context(), 2*defaultBodyMemoryBytes)
+		require.NoError(t, err)
+		got, waited := large("a")
+		require.Equal(t, http.StatusServiceUnavailable, got.Code)
+		require.Contains(t, got.Body.String(), reasonBodyMemory)
+		require.NotEmpty(t, got.Header().Get("Retry-After"))
+		require.Equal(t, 500*time.Millisecond, waited)
+		require.Equal(t, http.StatusOK, f.send(g, order("b", f.owners[0].Issue(time.Minute))).Code, "a small request")
+		time.AfterFunc(200*time.Millisecond, func() { g.bodyMemory.Release(taken) })
+		got, waited = large("c")
+		require.Equal(t, http.StatusOK, got.Code)
+		require.Equal(t, 200*time.Millisecond, waited)
+		require.Zero(t, f.countRuns("a"))
+		_, err = g.bodyMemory.Take(t.Context(), defaultBodyMemoryBytes)
+		require.NoError(t, err, "all is free again")
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -17,6 +18,7 @@
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/limit"
 	"lentilpin/pkg/membership"
 	"lentilpin/pkg/platform"
 	"lentilpin/pkg/ratelimit"
@@ -69,6 +71,10 @@
 	// therefore called for every request.
 	Ready func() (bool, string)
 
+	// BodyMemoryBytes is the memory that the bodies of all requests may hold together; 0:
+	// 256 MiB. A larger body takes all of it.
+	BodyMemoryBytes int64
+
 	// Permits obtains the permits for requests to rate-limited backend servers.
 	Permits ratelimit.Source
 
@@ -103,6 +109,7 @@
 	normal     atomic.Uint64 // requests that completed normally
 	drain      drainState
 	wasReady   atomic.Bool // since the start
+	bodyMemory *limit.Memory
 	inFlight   atomic.Int64
 	background taskTracker
 
@@ -119,6 +126,7 @@
 		drain:           newDrainState(),
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
+		bodyMemory:      limit.NewMemory(cmp.Or(options.BodyMemoryBytes, defaultBodyMemoryBytes)),
 	}
 	g.current.Store(&snapshot{callers: newCallerConfig(&options.Callers)})
 	options.Store.Subscribe(g.applySettings)
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -60,6 +60,7 @@
 	g.accepted.Inc(1)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer c.releaseBodyMemory()
 	res, ok := c.resolveHandedOn()
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -18,6 +18,7 @@
 	reasonQuarantined    = "quarantined"
 	reasonBodyTooLarge   = "body_too_large"
 	reasonBodyIncomplete = "body_incomplete"
+	reasonBodyMemory     = "body_memory"
 	reasonDeadline       = "deadline_exceeded"
 	reasonOverloaded     = "overloaded"
 	reasonRateLimited    = "rate_limited"
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -38,6 +38,7 @@
 	deadline       time.Time
 	target         string // path and query as sent to the backend server
 	body           []byte
+	bodyMemory     int64  // taken from the gateway's memory for bodies
 	fingerprint    uint64 // for the quarantine list
 	record         audit.Record
 	grant          *ledger.Claim   // of the request's key; nil: it has none
@@ -60,6 +61,7 @@
 	g.accepted.Inc(1)
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer c.releaseBodyMemory()
 
 	var res result
 	ok := false
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -187,9 +187,12 @@
 	if c.r.ContentLength > limit {
 		return c.refuseBeforeClaim(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is longer than maxBodyBytes"), false
 	}
-	body, err := c.readAllBefore(c.deadline, http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readBodyBefore(c.deadline, http.MaxBytesReader(c.w, c.r.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		c.w.Header().Set("Connection", "close")
+		return c.refuseBeforeClaim(http.StatusServiceUnavailable, reasonBodyMemory, errNoBodyMemory.Error()).withRetryAfter(), false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.w.Header().Set("Connection", "close")
 		return c.refuseBeforeClaim(http.StatusRequestTimeout, reasonBodyIncomplete, "the body did not arrive before the deadline"), false
@@ -203,14 +206,14 @@
 	return result{}, true
 }
 
-// readAllBefore reads the body until the deadline or the end of the drain, whichever
+// readBodyBefore reads the body until the deadline or the end of the drain, whichever
 // comes first. A request whose body arrives later cannot be served, and its caller must
 // learn so before the connection is closed.
-func (c *call) readAllBefore(deadline time.Time, body io.Reader) ([]byte, error) {
+func (c *call) readBodyBefore(deadline time.Time, body io.Reader, limit int64) ([]byte, error) {
 	connection := http.NewResponseController(c.w) // errors: httptest.ResponseRecorder has no deadlines
 	_ = connection.SetReadDeadline(deadline)
 	stop := context.AfterFunc(c.g.drain.endCtx, func() { _ = connection.SetReadDeadline(time.Now()) })
-	out, err := io.ReadAll(body)
+	out, err := c.holdBody(body, limit)
 	stop()
 	if err == nil {
 		_ = connection.SetReadDeadline(time.Time{})
