--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -18,12 +18,12 @@
 )
 
 const (
-	maxRequestHeadBytes  = 64 << 10
-	maxResponseHeadBytes = 64 << 10  // interim responses included
-	maxResponseBytes     = 256 << 20 // body of one response
-	maxInterimResponses  = 8         // 1xx responses at which an exchange fails
-	maxSkippedResponses  = 4         // responses of earlier exchanges at which an exchange fails
-	maxSkippedBodyBytes  = 1 << 20   // body of a skipped response
+	maxRequestHeadBytes  = 1<<20 + 16<<10 // the longest header of a caller, and what an entry adds
+	maxResponseHeadBytes = 64 << 10       // interim responses included
+	maxResponseBytes     = 256 << 20      // body of one response
+	maxInterimResponses  = 8              // 1xx responses at which an exchange fails
+	maxSkippedResponses  = 4              // responses of earlier exchanges at which an exchange fails
+	maxSkippedBodyBytes  = 1 << 20        // body of a skipped response
 )
 
 // Do sends the request to the backend server and returns the head of the
