--- a/pkg/feed/bandwidth_test.go
+++ b/pkg/feed/bandwidth_test.go
@@ -77,7 +77,6 @@
 		time.Sleep(2 * failedRelayBackoff)
 		require.NoError(t, f.checkConverged())
 		c.requireDeparturesInTime(t, f)
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 	})
 }
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -20,9 +20,7 @@
 // Guards against a change that an entry learns of too late because the relay that
 // it polls is frozen.
 func TestFrozenRelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(6)
-		defer f.close()
+	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		time.Sleep(10 * time.Second)
 		require.NoError(t, f.checkConverged())
@@ -30,8 +28,7 @@
 		f.setFrozen(1, true)
 		f.store.put("server/b", "stock 1")
 		f.store.put("tree", "1")
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 	})
 }
 
@@ -40,9 +37,7 @@
 // seed 763735486187) requests were sent to a backend server 2016 ms after it had
 // started to leave.
 func TestRelaysCutOffFromTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(6)
-		defer f.close()
+	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		f.store.put("server/b", "stock 1")
 		f.store.put("tree", "1")
@@ -63,9 +58,7 @@
 // that reports it to the relay is lost: the relay still reaches the store by its
 // pings, and its peers go on polling it.
 func TestLostReplyToRelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(6)
-		defer f.close()
+	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		f.store.put("server/b", "stock 1")
 		time.Sleep(2 * failedRelayBackoff)
@@ -80,9 +73,7 @@
 
 // Guards against entries that all read the store, which accounts for every call.
 func TestRelaysReduceStoreCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		f.store.put("tree", "1")
 		time.Sleep(2 * failedRelayBackoff) // backoffs from relays that were not ready at the start have ended
 		f.store.locked(func() { f.store.calls = 0 })
@@ -99,9 +90,7 @@
 // Guards against a relay that pings the store although it has just answered: the
 // store accounts for every ping.
 func TestRelayPingsStoreOnlyWithoutRecentAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(4)
-		defer f.close()
+	runFleet(t, 4, func(t *testing.T, f *fleet) {
 		time.Sleep(2 * failedRelayBackoff)
 		pings := func() (n int) {
 			f.store.locked(func() { n = f.store.pings })
@@ -140,8 +129,7 @@
 		time.Sleep(span)
 		f.store.locked(func() { require.LessOrEqual(t, f.store.calls, 2*(int(span/(storePollWait/2+storePollGap))+1)) })
 		f.store.put("server/b", "stock 1")
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 	})
 }
 
@@ -149,9 +137,7 @@
 // entry reads a snapshot and then polls the store itself for some time. On
 // kbs-gateway-grown this caused 1,100 of the 1,500 calls of a test run.
 func TestSnapshotIsReadOnceAfterLostHistory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		time.Sleep(2 * failedRelayBackoff)
 		f.store.locked(func() { f.store.calls, f.store.missesChanges = 0, true })
@@ -174,9 +160,7 @@
 // keeps telling its peers that it is not in contact. On kbs-gateway-grown this
 // caused 1,200 of the 1,500 calls of a test run with disconnected instances.
 func TestRelayServesPeersAgainAfterStoreOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		time.Sleep(2 * failedRelayBackoff)
 		f.store.locked(func() { f.store.unavailable = true })
@@ -196,9 +180,7 @@
 // every second, and read the store themselves in between, instead of using the
 // entry next in rank.
 func TestRelayThatStaysCutOffIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		time.Sleep(2 * failedRelayBackoff)
 		f.disconnect(0)
@@ -241,9 +223,7 @@
 // peers read the store. On kbs-gateway-grown this caused 80 of the 310 calls of a
 // quiet test run.
 func TestLostPingsCauseNoStoreCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		time.Sleep(2 * failedRelayBackoff)
 		f.store.locked(func() { f.store.calls = 0 })
 		const span = 30 * time.Second
@@ -260,9 +240,7 @@
 // Guards against an entry that starts while the store is unavailable and does not
 // load the last known state from its peers.
 func TestStartWhileStoreIsUnavailable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(2)
-		defer f.close()
+	runFleet(t, 2, func(t *testing.T, f *fleet) {
 		f.store.put("server/a", "stock 1")
 		f.store.put("tree", "12")
 		time.Sleep(5 * time.Second)
@@ -348,8 +326,7 @@
 			require.LessOrEqual(t, store.calls, 3*Readers)
 		})
 		store.put("server/b", "stock 1")
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 	})
 }
 
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -6,9 +6,12 @@
 	"maps"
 	"slices"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
 
 	"lentilpin/pkg/clock"
 	"lentilpin/pkg/events"
@@ -268,6 +271,15 @@
 // others.
 func newFleet(n int) *fleet { return newFleetOn(newFakeStore(), n, false, rankByNumber) }
 
+// runFleet runs a test of n entries in virtual time.
+func runFleet(t *testing.T, n int, run func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(n)
+		defer f.close()
+		run(t, f)
+	})
+}
+
 // newFleetOn starts n entries on a store. relays is Options.Relays of entry own.
 func newFleetOn(store *fakeStore, n int, firstStart bool, relays func(own int, skip func(string) bool) ([]string, bool)) *fleet {
 	return newFleetOf(store, make([]links, n), firstStart, relays)
@@ -443,6 +455,14 @@
 	f.frozen[i] = isFrozen
 }
 
+// requireConverged fails the test unless every entry knows the content of the store after
+// propagationLimit.
+func (f *fleet) requireConverged(t *testing.T) {
+	t.Helper()
+	time.Sleep(propagationLimit)
+	require.NoError(t, f.checkConverged())
+}
+
 // checkConverged returns an error unless every entry has the settings tree and the
 // backend servers that the store holds.
 func (f *fleet) checkConverged() error {
--- a/pkg/feed/restore_test.go
+++ b/pkg/feed/restore_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -46,9 +45,7 @@
 // Guards against entries that miss the changes which a restored store records under
 // revisions that it has given out before.
 func TestRestoredStoreGivesOutRevisionsAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(6)
-		defer f.close()
+	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		for i := range 5 {
 			f.store.put(fmt.Sprintf("server/%d", i), "stock 1")
 		}
@@ -58,8 +55,7 @@
 		for i := range 4 {
 			f.store.put(fmt.Sprintf("server/lost-%d", i), "stock 1")
 		}
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 
 		f.waitForPollGap(0)
 		f.store.restore(saved)
@@ -68,8 +64,7 @@
 		for i := range 4 {
 			f.store.put(fmt.Sprintf("server/new-%d", i), "stock 1")
 		}
-		time.Sleep(propagationLimit)
-		require.NoError(t, f.checkConverged())
+		f.requireConverged(t)
 	})
 }
 
@@ -101,9 +96,7 @@
 		}},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(6)
-				defer f.close()
+			runFleet(t, 6, func(t *testing.T, f *fleet) {
 				for i := range 6 {
 					f.store.put(fmt.Sprintf("server/%d", i), "stock 1")
 				}
@@ -111,8 +104,7 @@
 				saved := f.store.copy()
 				time.Sleep(2 * failedRelayBackoff)
 				f.store.put("server/lost", "stock 1")
-				time.Sleep(propagationLimit)
-				require.NoError(t, f.checkConverged())
+				f.requireConverged(t)
 
 				old := f.store.copy()
 				tt.before(f)
@@ -152,9 +144,7 @@
 		{"it has started again", func(s *fakeStore) { s.put("server/0", "stock 2") }, true, true},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(4)
-				defer f.close()
+			runFleet(t, 4, func(t *testing.T, f *fleet) {
 				for i := range 4 {
 					f.store.put(fmt.Sprintf("server/%d", i), "stock 1")
 				}
@@ -188,9 +178,7 @@
 // Guards against a restored store that is noticed only at the end of a poll, which
 // waits for a change after a revision that was given out again.
 func TestRestoredStoreIsNoticedByPings(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(6)
-		defer f.close()
+	runFleet(t, 6, func(t *testing.T, f *fleet) {
 		f.store.put("server/0", "stock 1")
 		f.store.put("server/1", "stock 1")
 		saved := f.store.copy()
@@ -208,9 +196,7 @@
 // Guards against entries that all read a restored store instead of taking the state of
 // the new era, whose revisions are lower, from their relay.
 func TestRestoredStoreIsReadOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(20)
-		defer f.close()
+	runFleet(t, 20, func(t *testing.T, f *fleet) {
 		f.store.put("server/0", "stock 1")
 		saved := f.store.copy()
 		time.Sleep(2 * failedRelayBackoff)
--- a/pkg/feed/trees_test.go
+++ b/pkg/feed/trees_test.go
@@ -26,9 +26,7 @@
 		{"the tree is not read from the store if a peer delivers it", true, 0},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(1)
-				defer f.close()
+			runFleet(t, 1, func(t *testing.T, f *fleet) {
 				var inForce atomic.Uint64
 				follower := NewReader(Options{
 					Store: f.store, Translator: textStub{}, Recorder: events.Discard{}, PeerClient: fleetPeers{f: f},
