Serve bodies in chunks that are larger than the memory for bodies

Cause: a body of unknown length takes its memory in steps; a step that exceeds what the gateway has waited for bytes that the request holds itself. Change: the sum that a request holds is bounded, not each step. Evidence: TestBodyLargerThanBodyMemory.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// initialBodyBytes is the capacity for a body of unknown length, which then doubles.
+	initialBodyBytes = 512
 	// smallBodyBytes is the size of bodies up to which they need no part of the memory for
 	// bodies, so that small requests do not wait behind uploads.
 	smallBodyBytes = 16 << 10
@@ -25,14 +27,14 @@
 // requests. The body is held once, but while one of unknown length grows.
 func (c *call) holdBody(body io.Reader, limit int64) ([]byte, error) {
 	if n := c.r.ContentLength; n >= 0 {
-		if err := c.takeBodyMemory(n); err != nil {
+		if err := c.raiseBodyMemory(n); err != nil {
 			return nil, err
 		}
 		out := make([]byte, n)
 		_, err := io.ReadFull(body, out)
 		return out, err
 	}
-	out := make([]byte, 0, 512)
+	out := make([]byte, 0, initialBodyBytes)
 	for {
 		n, err := body.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
@@ -45,28 +47,27 @@
 			continue
 		}
 		next := min(2*int64(cap(out)), max(limit, int64(cap(out)))+1)
-		if err := c.takeBodyMemory(next); err != nil {
+		if err := c.raiseBodyMemory(next); err != nil {
 			return nil, err
 		}
 		out = append(make([]byte, 0, next), out...)
 	}
 }
 
-// takeBodyMemory raises the memory that the request holds to n bytes, unless its body is
+// raiseBodyMemory raises the memory that the request holds to n bytes, unless its body is
 // small. The error is errNoBodyMemory.
-func (c *call) takeBodyMemory(n int64) error {
-	n -= c.bodyMemory
-	if n <= 0 || c.bodyMemory == 0 && n <= smallBodyBytes {
+func (c *call) raiseBodyMemory(n int64) error {
+	if n <= smallBodyBytes {
 		return nil
 	}
 	wait := time.Duration(bodyMemoryShare * float64(time.Until(c.deadline)))
 	ctx, cancel := context.WithTimeout(c.r.Context(), wait)
 	defer cancel()
-	taken, err := c.g.bodyMemory.Take(ctx, n)
+	held, err := c.g.bodyMemory.Raise(ctx, c.bodyMemory, n)
 	if err != nil {
 		return errNoBodyMemory
 	}
-	c.bodyMemory += taken
+	c.bodyMemory = held
 	return nil
 }
 
--- a/pkg/gateway/bounds_test.go
+++ b/pkg/gateway/bounds_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lentilpin/pkg/limit"
 	"lentilpin/standin/pipe"
 )
 
@@ -57,7 +58,7 @@
 			start := time.Now()
 			return f.send(g, r), time.Since(start)
 		}
-		taken, err := g.bodyMemory.Take(t.Context(), 2*defaultBodyMemoryBytes)
+		taken, err := g.bodyMemory.Raise(t.Context(), 0, 2*defaultBodyMemoryBytes)
 		require.NoError(t, err)
 		got, waited := large("a")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code)
@@ -70,7 +71,24 @@
 		require.Equal(t, http.StatusOK, got.Code)
 		require.Equal(t, 200*time.Millisecond, waited)
 		require.Zero(t, f.countRuns("a"))
-		_, err = g.bodyMemory.Take(t.Context(), defaultBodyMemoryBytes)
+		_, err = g.bodyMemory.Raise(t.Context(), 0, defaultBodyMemoryBytes)
 		require.NoError(t, err, "all is free again")
 	})
 }
+
+// Guards against a body in chunks that is larger than all memory for bodies and waits for
+// what it holds itself.
+func TestBodyLargerThanBodyMemory(t *testing.T) {
+	runInVirtualTime(t, 1, func(t *testing.T, f *fixture) {
+		g := f.gateways[0]
+		g.bodyMemory = limit.NewMemory(3 * smallBodyBytes)
+		for _, length := range []int64{-1, 9 * smallBodyBytes} {
+			r := httptest.NewRequest(http.MethodPost, "/shop/orders/a", strings.NewReader(strings.Repeat("x", 9*smallBodyBytes)))
+			r.ContentLength = length
+			r.Header.Set(pipe.TokenHeader, "a")
+			r.Header.Set(idempotencyKeyHeader, f.owners[0].Issue(time.Minute))
+			require.Equal(t, http.StatusOK, f.send(g, r).Code, "length %d", length)
+		}
+		require.Equal(t, 2, f.countRuns("a"))
+	})
+}
--- a/pkg/limit/memory.go
+++ b/pkg/limit/memory.go
@@ -16,13 +16,16 @@
 // NewMemory returns a Memory of size bytes, all of them free.
 func NewMemory(size int64) *Memory { return &Memory{size: size, free: semaphore.NewWeighted(size)} }
 
-// Take waits until n bytes are free and takes them. A request that needs more than there
-// are takes all. It returns the number of bytes to pass to Release; the error is that of
-// ctx.
-func (m *Memory) Take(ctx context.Context, n int64) (taken int64, err error) {
+// Raise raises what a request holds from held to n bytes, and waits until they are free. A
+// request that needs more than there are holds all. It returns the number of bytes that
+// the request holds then; the error is that of ctx.
+func (m *Memory) Raise(ctx context.Context, held, n int64) (int64, error) {
 	n = min(n, m.size)
-	if err := m.free.Acquire(ctx, n); err != nil {
-		return 0, err
+	if n <= held {
+		return held, nil
+	}
+	if err := m.free.Acquire(ctx, n-held); err != nil {
+		return held, err
 	}
 	return n, nil
 }
