Stand-ins: one function for listeners on loopback addresses

Cause: three copies, two of which listened before they checked the address. Change: package standin/loopback, used by the stand-ins of backend servers and of the configuration service.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +17,7 @@
 
 	"lentilpin/pkg/buildinfo"
 	"lentilpin/standin/backend"
+	"lentilpin/standin/loopback"
 )
 
 // shutdownTimeout is how long requests in flight may take to finish after SIGTERM.
@@ -105,14 +105,10 @@
 
 // serveAdmin serves the admin handler on a loopback address until ctx ends.
 func serveAdmin(ctx context.Context, address string, servers []*backend.Server) error {
-	l, err := net.Listen("tcp", address)
+	l, err := loopback.Listen(address)
 	if err != nil {
 		return err
 	}
-	if !l.Addr().(*net.TCPAddr).IP.IsLoopback() {
-		_ = l.Close()
-		return errors.Errorf("%q is not a loopback address", address)
-	}
 	fmt.Printf("admin %s\n", l.Addr())
 	srv := &http.Server{Handler: backend.AdminHandler(servers), ReadHeaderTimeout: shutdownTimeout}
 	defer context.AfterFunc(ctx, func() { _ = srv.Close() })()
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -18,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lentilpin/pkg/buildinfo"
+	"lentilpin/standin/loopback"
 	"lentilpin/standin/platform"
 )
 
@@ -93,14 +93,10 @@
 
 // listenAndServe serves h on a loopback address until ctx ends.
 func listenAndServe(ctx context.Context, address string, h http.Handler) error {
-	l, err := net.Listen("tcp", address)
+	l, err := loopback.Listen(address)
 	if err != nil {
 		return err
 	}
-	if ip := l.Addr().(*net.TCPAddr).IP; !ip.IsLoopback() {
-		_ = l.Close()
-		return errors.Errorf("%s is not a loopback address", address)
-	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	stopped := make(chan struct{})
 	go func() {
--- a/standin/backend/server.go
+++ b/standin/backend/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"lentilpin/standin/loopback"
 )
 
 const (
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := listenLoopback(c.Listen)
+	l, err := loopback.Listen(c.Listen)
 	if err != nil {
 		return nil, err
 	}
@@ -66,17 +68,6 @@
 	return s, nil
 }
 
-func listenLoopback(address string) (net.Listener, error) {
-	a, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if !a.IP.IsLoopback() {
-		return nil, errors.Errorf("%q is not a loopback address", address)
-	}
-	return net.ListenTCP("tcp", a)
-}
-
 // Address returns the service address as IP:port.
 func (s *Server) Address() string { return s.address }
 
@@ -164,7 +155,7 @@
 			return nil
 		case <-time.After(delay):
 		}
-		if l, err := listenLoopback(s.address); err == nil {
+		if l, err := loopback.Listen(s.address); err == nil {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			if s.closed {
