Bodies that hold memory do not wait for more

Callers would see: uploads in chunks that together exceed the memory for bodies wait for each other for half of their time, and none is served.

Cause: a body of unknown length took its memory in steps and waited while it held some.

Change: a request waits only while it holds nothing; a body of unknown length begins with a share and grows without waiting, or is refused as not run. Evidence: TestBodiesInChunksDoNotWaitForEachOther, in virtual time.

--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -47,7 +47,11 @@
 			continue
 		}
 		next := min(2*int64(cap(out)), max(limit, int64(cap(out)))+1)
-		if err := c.raiseBodyMemory(next); err != nil {
+		needed := next
+		if c.bodyMemory == 0 && next > smallBodyBytes {
+			needed = max(next, c.g.bodyMemory.Share())
+		}
+		if err := c.raiseBodyMemory(needed); err != nil {
 			return nil, err
 		}
 		out = append(make([]byte, 0, next), out...)
@@ -55,19 +59,22 @@
 }
 
 // raiseBodyMemory raises the memory that the request holds to n bytes, unless its body is
-// small. The error is errNoBodyMemory.
-func (c *call) raiseBodyMemory(n int64) error {
-	if n <= smallBodyBytes {
+// small. It waits only if the request holds none. The error is errNoBodyMemory.
+func (c *call) raiseBodyMemory(n int64) (err error) {
+	switch {
+	case n <= smallBodyBytes:
 		return nil
+	case c.bodyMemory > 0:
+		c.bodyMemory, err = c.g.bodyMemory.Grow(c.bodyMemory, n)
+	default:
+		wait := time.Duration(bodyMemoryShare * float64(time.Until(c.deadline)))
+		ctx, cancel := context.WithTimeout(c.r.Context(), wait)
+		defer cancel()
+		c.bodyMemory, err = c.g.bodyMemory.Take(ctx, n)
 	}
-	wait := time.Duration(bodyMemoryShare * float64(time.Until(c.deadline)))
-	ctx, cancel := context.WithTimeout(c.r.Context(), wait)
-	defer cancel()
-	held, err := c.g.bodyMemory.Raise(ctx, c.bodyMemory, n)
 	if err != nil {
 		return errNoBodyMemory
 	}
-	c.bodyMemory = held
 	return nil
 }
 
--- a/pkg/gateway/bounds_test.go
+++ b/pkg/gateway/bounds_test.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,7 +62,7 @@
 			start := time.Now()
 			return f.send(g, r), time.Since(start)
 		}
-		taken, err := g.bodyMemory.Raise(t.Context(), 0, 2*defaultBodyMemoryBytes)
+		taken, err := g.bodyMemory.Take(t.Context(), 2*defaultBodyMemoryBytes)
 		require.NoError(t, err)
 		got, waited := large("a")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code)
@@ -71,11 +75,54 @@
 		require.Equal(t, http.StatusOK, got.Code)
 		require.Equal(t, 200*time.Millisecond, waited)
 		require.Zero(t, f.countRuns("a"))
-		_, err = g.bodyMemory.Raise(t.Context(), 0, defaultBodyMemoryBytes)
+		_, err = g.bodyMemory.Take(t.Context(), defaultBodyMemoryBytes)
 		require.NoError(t, err, "all is free again")
 	})
 }
 
+// Guards against bodies in chunks that hold memory and wait for each other until their
+// deadlines, so that none of them is served.
+func TestBodiesInChunksDoNotWaitForEachOther(t *testing.T) {
+	runInVirtualTime(t, 1, func(t *testing.T, f *fixture) {
+		const bodyBytes, steps = 8 * smallBodyBytes, 8
+		g := f.gateways[0]
+		g.bodyMemory = limit.NewMemory(3 * bodyBytes)
+		var requests sync.WaitGroup
+		var served, refused atomic.Int32
+		for i := range 12 {
+			requests.Go(func() {
+				name := fmt.Sprint(i)
+				body, sender := io.Pipe()
+				requests.Go(func() {
+					for range steps {
+						_, _ = sender.Write(make([]byte, bodyBytes/steps))
+						time.Sleep(10 * time.Millisecond)
+					}
+					_ = sender.Close()
+				})
+				r := httptest.NewRequest(http.MethodPost, "/shop/orders/"+name, body)
+				r.ContentLength = -1
+				r.Header.Set(pipe.TokenHeader, name)
+				r.Header.Set(idempotencyKeyHeader, f.owners[0].Issue(time.Minute))
+				start := time.Now()
+				got := f.send(g, r)
+				_ = body.Close()
+				require.Less(t, time.Since(start), 200*time.Millisecond)
+				if got.Code == http.StatusOK {
+					served.Add(1)
+					return
+				}
+				refused.Add(1)
+				require.Equal(t, http.StatusServiceUnavailable, got.Code)
+				require.Zero(t, f.countRuns(name))
+			})
+		}
+		requests.Wait()
+		require.Positive(t, served.Load())
+		require.Positive(t, refused.Load())
+	})
+}
+
 // Guards against a body in chunks that is larger than all memory for bodies and waits for
 // what it holds itself.
 func TestBodyLargerThanBodyMemory(t *testing.T) {
