--- a/pkg/framing/doc.go
+++ b/pkg/framing/doc.go
@@ -1,7 +1,7 @@
 // Package framing decides once where each request on a connection ends.
 //
-// A server that takes one framing for decided and a parser that takes another run requests
-// that are hidden in others (request smuggling, RFC 9112, section 11.2). A Listener puts a
+// Where two readers of a connection differ on the end of a request, requests that are
+// hidden in others are run (request smuggling, RFC 9112, section 11.2). A Listener puts a
 // strict reader between the connection and net/http. It reads every byte of the
 // connection in order, so that no request is missed: pipelined, split over packets, or
 // behind a body. What it passes on is framed anew: each head has one Content-Length, one
