Apply the instance list to new services before they are served

Callers saw: requests to a service that a version adds were refused for want of backend servers until the instance list was applied to it.

Cause: the version was put in force first. Change: the list is applied to the services of a version before it is in force. Evidence: TestNewServiceHasItsBackendServers fails in 2 of 2 runs before the change.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -179,13 +179,15 @@
 	if tree.StatesRoutes {
 		routes = route.NewTable(old.routes, tree.Routes)
 	}
-	g.current.Store(newSnapshot(next, routes, tree))
+	snapshot := newSnapshot(next, routes, tree)
+	// A request that finds a new service without its backend servers would be refused.
+	g.applyInstances(snapshot.list)
+	g.current.Store(snapshot)
 	for _, s := range old.list {
 		if next[s.name] == nil {
 			s.close()
 		}
 	}
-	g.applyInstances()
 }
 
 // reconfigureService applies new settings to a service. Most versions change
@@ -216,11 +218,12 @@
 	g.updateMu.Lock()
 	defer g.updateMu.Unlock()
 	g.list = list
+	g.applyInstances(g.current.Load().list)
 	g.hasList.Store(true)
-	g.applyInstances()
 }
 
-func (g *Gateway) applyInstances() {
+// applyInstances applies the latest instance list to services. g.updateMu must be held.
+func (g *Gateway) applyInstances(services []*service) {
 	live := map[string][]routing.Backend{}
 	leaving := map[string][]string{}
 	for _, i := range g.list {
@@ -236,7 +239,7 @@
 		}
 		live[i.Service] = append(live[i.Service], b)
 	}
-	for _, s := range g.current.Load().list {
+	for _, s := range services {
 		s.updateBackends(live[s.name], leaving[s.name])
 	}
 }
--- a/pkg/gateway/snapshot_test.go
+++ b/pkg/gateway/snapshot_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,9 +15,44 @@
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/platform"
 	"lentilpin/pkg/settings"
 )
 
+// Guards against requests that are refused because a new service is served before it has
+// its backend servers.
+func TestNewServiceHasItsBackendServers(t *testing.T) {
+	g, store := newGatewayWithoutSettings(func() (bool, string) { return true, "" })
+	g.options.OrdinalConflict, g.options.Instances = func() bool { return true }, func() int { return 1 }
+	const versions = 300
+	var list []platform.Instance
+	for v := range versions {
+		list = append(list, platform.Instance{Kind: platform.KindBackend, Service: fmt.Sprintf("s%d", v+1), Address: "127.0.0.1:9000", State: platform.StateLive})
+	}
+	g.UpdateInstances(list)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for version := uint64(0); version < versions; {
+			current := g.current.Load()
+			if version = current.version; version == 0 {
+				continue
+			}
+			for _, s := range current.list {
+				if len(s.routingSet.Servers()) == 0 {
+					t.Errorf("%s has no backend servers in version %d", s.name, version)
+					return
+				}
+			}
+		}
+	}()
+	for v := 1; v <= versions; v++ {
+		text := fmt.Appendf(nil, `{"version": %d, "regions": {"r": {"services": {"s%d": {}}}}}`, v, v)
+		require.Equal(t, settings.ResultAdopted, store.Offer(text, "test"))
+	}
+	<-done
+}
+
 // newGatewayWithoutSettings returns a gateway without settings, with the given
 // Options.Ready, and its settings store.
 func newGatewayWithoutSettings(ready func() (bool, string)) (*Gateway, *settings.Store) {
