Requests that crash servers: exchange the evidence, one trial over the fleet

Cause: each entry needed two crashed servers of its own and admitted a trial of its own; crashes of processes that still accept connections were no evidence; an error response cleared a request; requests in the queue were sent although they had been quarantined meanwhile.

Change: crashes and clearing responses are part of the exchange between entries; a trial needs a permit of the instance that is responsible for the fingerprint (one in 20 s); health checks after a broken connection use a new connection; the quarantine is checked again before a request is written. This bounds the cost by the time in which news spreads, whatever the number of entries.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -93,12 +93,14 @@
 	})
 	directory := permitDirectory{e}
 	e.permitIssuer = ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: systemClock, Epoch: e.pauseEpoch})
+	permits := ratelimit.NewPermits(directory, e.permitIssuer, e.peerClient)
 	e.gateway = gateway.New(gateway.Options{
 		Instance: conf.Instance, Incarnation: e.incarnation, Region: conf.Region,
 		FailureDomain: conf.FailureDomain, Callers: conf.Callers, Ordinal: conf.Ordinal,
 		Store: e.settingsStore, Owner: e.ledgerOwner,
 		Claimant:        ledger.NewClaimant(e.ledgerOwner, keyring, ledgerPeers{e.peerClient, e}, systemClock, conf.Listen.Peers),
-		Permits:         ratelimit.NewPermits(directory, e.permitIssuer, e.peerClient),
+		Permits:         permits,
+		Trials:          permits,
 		Log:             e.log,
 		Recorder:        e.recorder,
 		Scope:           e.metrics.Scope,
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -58,7 +58,7 @@
 		Body:             c.body,
 		Idempotent:       c.isIdempotent(),
 		ExpectedInstance: server.ID(),
-		MayStart:         func() bool { return c.svc.mayStart(server) },
+		MayStart:         func() bool { return c.mayStart(server) },
 	})
 	a.latency = time.Since(a.start)
 	c.svc.observeReach(server, a.failure, false)
@@ -85,11 +85,14 @@
 	}
 	if o == routing.Broken && !a.isNotRun() {
 		c.svc.quarantine.Broken(c.g.now(), c.fingerprint, a.server.Address())
-		c.startHealthCheck(a.server)
+		c.startCrashCheck(a.server)
 	}
-	if o == routing.Success || o == routing.ErrorResponse {
+	if o == routing.Success {
+		// An error response does not prove it: a backend server in trouble may fail a
+		// request before it begins to run it.
 		c.svc.quarantine.Ran(c.g.now(), c.fingerprint)
 	}
+	c.svc.spreadQuarantineNews()
 	if a.failure != nil {
 		c.svc.recordDialFailure(a.server, a.failure)
 	}
@@ -103,37 +106,6 @@
 	})
 }
 
-// startHealthCheck checks in the background whether a backend server that broke
-// a connection still accepts one. Without this check a crash would remain
-// undetected until another request fails.
-func (c *call) startHealthCheck(server *routing.Server) {
-	done := make(chan struct{})
-	c.healthChecks = append(c.healthChecks, done)
-	c.g.background.Go(func() {
-		defer close(done)
-		c.svc.checkHealth(server)
-		if c.svc.quarantine.CheckBlocked(c.g.now(), c.fingerprint) {
-			c.svc.notifyPeers()
-		}
-	})
-}
-
-// waitForHealthChecks waits until it is known whether the backend servers that
-// broke connections have crashed. A request that broke quarantine.breaks
-// connections must not crash another server before that.
-func (c *call) waitForHealthChecks(ctx context.Context) {
-	if len(c.healthChecks) < c.settings.Quarantine.Breaks {
-		return
-	}
-	for _, done := range c.healthChecks {
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // attemptResult returns the result of an attempt as text for the request
 // record.
 func attemptResult(a *attempt, o routing.Outcome) string {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -77,6 +77,8 @@
 
 	// Permits obtains the permits for requests to rate-limited backend servers.
 	Permits ratelimit.Source
+	// Trials grants the trials of quarantined requests; nil: this instance decides alone.
+	Trials TrialSource
 
 	// Peers knows the peers that accept requests; nil: requests are not handed on.
 	// PeerSecret is the shared secret of all instances.
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -119,7 +119,7 @@
 		return res, false
 	}
 	c.fingerprint = quarantine.Fingerprint(c.r.Method, c.target, c.body)
-	if c.svc.quarantine.CheckBlocked(c.g.now(), c.fingerprint) {
+	if c.isQuarantined(c.r.Context()) {
 		return notRunResult(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"), false
 	}
 	return result{}, true
--- a/pkg/gateway/idempotent.go
+++ b/pkg/gateway/idempotent.go
@@ -143,13 +143,13 @@
 	if ic.ctx.Err() != nil {
 		return ic.deadlineResult(), true
 	}
+	ic.waitForCrashChecks(ic.ctx)
+	if ic.svc.quarantine.IsSuspect(ic.g.now(), ic.fingerprint) {
+		return ic.quarantinedResult(a), true
+	}
 	if a.isWithdrawn() {
 		return ic.replaceWithdrawn()
 	}
-	ic.waitForHealthChecks(ic.ctx)
-	if ic.svc.quarantine.CheckBlocked(ic.g.now(), ic.fingerprint) {
-		return ic.quarantinedResult(a), true
-	}
 	if ic.takeRetry() {
 		ic.svc.retryCounter.Inc(1)
 		if refusal := ic.startNextAttempt(); refusal == nil {
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -141,6 +141,9 @@
 			_ = a.resp.Body.Close()
 		}
 		c.endAttempt(a, classifyAttempt(a))
+		if c.svc.quarantine.IsSuspect(c.g.now(), c.fingerprint) {
+			return c.settleWith(claim, notRunResult(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"))
+		}
 		tried = append(tried, server)
 		if isRetry = !a.isWithdrawn(); isRetry {
 			sent++
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -31,14 +31,6 @@
 	}
 }
 
-// checkHealth checks whether a backend server accepts requests. A check is sent
-// only after a broken connection, so that the number of checks is bounded by
-// that of failed attempts. It does not measure load and does not count against
-// the probe budget.
-func (s *service) checkHealth(server *routing.Server) {
-	s.sendInternalRequest(context.Background(), server, s.settings.Load().Paths.Health)
-}
-
 // checkEjected sends a health check to each ejected backend server once in
 // healthPeriodMs. A failed check extends the ejection; a successful check does
 // not end it early.
@@ -78,26 +70,32 @@
 }
 
 // sendInternalRequest sends a load probe, a load query or a health check. The
-// status is 0 if there was no response. Nothing is sent to a backend server that wants
-// no requests.
+// status is 0 if there was no response.
 func (s *service) sendInternalRequest(ctx context.Context, server *routing.Server, path string) (status int, signals transport.Signals) {
+	status, signals, _ = s.exchangeInternal(ctx, server, path, false)
+	return status, signals
+}
+
+// exchangeInternal is sendInternalRequest, on a new connection if so required, and
+// returns the failure. Nothing is sent to a backend server that wants no requests.
+func (s *service) exchangeInternal(ctx context.Context, server *routing.Server, path string, onNewConnection bool) (status int, signals transport.Signals, failure *transport.Failure) {
 	if server.IsBackingOff() {
-		return 0, transport.Signals{}
+		return 0, transport.Signals{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, internalRequestTimeout)
 	defer cancel()
 	resp, failure := s.pool.Do(ctx, server.Address(), &transport.Request{
 		Method: http.MethodGet, Target: route.EscapePath(path), Host: server.Address(), Idempotent: true,
-		ExpectedInstance: server.ID(), Probe: true,
+		ExpectedInstance: server.ID(), Probe: true, NewConnection: onNewConnection,
 	})
 	s.observeReach(server, failure, true)
 	if failure != nil {
 		s.recordDialFailure(server, failure)
-		return 0, transport.Signals{}
+		return 0, transport.Signals{}, failure
 	}
 	_ = resp.Body.Close()
 	s.observeSignals(server, resp.Signals, sourceLoadQuery)
-	return resp.Status, resp.Signals
+	return resp.Status, resp.Signals, nil
 }
 
 // recordDialFailure reports to the quarantine list that a backend server does
@@ -105,5 +103,6 @@
 func (s *service) recordDialFailure(server *routing.Server, failure *transport.Failure) {
 	if failure.Kind == transport.Dial {
 		s.quarantine.Failed(s.now(), server.Address())
+		s.spreadQuarantineNews()
 	}
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -43,7 +43,7 @@
 	record         audit.Record
 	grant          *ledger.Claim   // of the request's key; nil: it has none
 	handoff        *handoff        // set if a peer has handed the request to this instance
-	healthChecks   []chan struct{} // closed when the health check after a broken connection has ended
+	crashChecks    []chan struct{} // closed when the health check after a broken connection has ended
 }
 
 // serve handles one request from acceptance to its outcome.
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -46,7 +46,7 @@
 	}
 	c.setForwardedHeaders()
 	c.fingerprint = quarantine.Fingerprint(c.r.Method, c.target, c.body)
-	if c.svc.quarantine.CheckBlocked(c.g.now(), c.fingerprint) {
+	if c.isQuarantined(c.r.Context()) {
 		return c.refuseBeforeClaim(http.StatusServiceUnavailable, reasonQuarantined, "requests like this one crashed backend servers"), false
 	}
 	return result{}, true
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -251,7 +251,10 @@
 
 func (s *drainMarks) Quarantines() []*peerpb.Quarantine { return nil }
 
-func (s *drainMarks) Merge(drains []*peerpb.DrainMark, _ []*peerpb.Quarantine) {
+func (s *drainMarks) CrashEvidence() []*peerpb.CrashEvidence { return nil }
+
+func (s *drainMarks) Merge(in membership.SharedState) {
+	drains := in.Drains
 	for _, d := range drains {
 		s.add(d.Address, time.Duration(d.AgeMs)*time.Millisecond)
 	}
--- a/pkg/membership/message.go
+++ b/pkg/membership/message.go
@@ -26,13 +26,15 @@
 type PeerState interface {
 	Drains() []*peerpb.DrainMark
 	Quarantines() []*peerpb.Quarantine
+	// CrashEvidence returns what is known of requests that crash backend servers.
+	CrashEvidence() []*peerpb.CrashEvidence
 	// Merge merges the state that a peer sent. Ages do not include the
 	// transmission time of the message.
-	Merge(drains []*peerpb.DrainMark, quarantines []*peerpb.Quarantine)
+	Merge(SharedState)
 }
 
 // cursors holds the rotation position of each kind of element.
-type cursors struct{ drains, quarantines, members int }
+type cursors struct{ drains, quarantines, evidence, members int }
 
 // takeRotating returns consecutive elements, starting at position and wrapping
 // around, up to the first one that exceeds the allowance in bytes. It advances
@@ -66,24 +68,34 @@
 	return out
 }
 
-// sharedState holds the state that PeerState provides for one message. It is
-// read before the table is locked.
-type sharedState struct {
-	drains      []*peerpb.DrainMark
-	quarantines []*peerpb.Quarantine
+// SharedState is the state of the gateway in one message.
+type SharedState struct {
+	Drains      []*peerpb.DrainMark
+	Quarantines []*peerpb.Quarantine
+	Evidence    []*peerpb.CrashEvidence
 }
 
-func (t *Table) readSharedState() sharedState {
+// isEmpty reports whether a message has nothing to merge.
+func (s *SharedState) isEmpty() bool {
+	return len(s.Drains)+len(s.Quarantines)+len(s.Evidence) == 0
+}
+
+// readSharedState returns the state for one message. It must be called before the table is
+// locked.
+func (t *Table) readSharedState() SharedState {
 	if t.options.PeerState == nil {
-		return sharedState{}
+		return SharedState{}
+	}
+	return SharedState{
+		Drains: t.options.PeerState.Drains(), Quarantines: t.options.PeerState.Quarantines(),
+		Evidence: t.options.PeerState.CrashEvidence(),
 	}
-	return sharedState{drains: t.options.PeerState.Drains(), quarantines: t.options.PeerState.Quarantines()}
 }
 
-// composeMessage builds a message within the budget. Drain marks and
-// quarantined fingerprints precede the records of members, because they keep
+// composeMessage builds a message within the budget. Drain marks, quarantined
+// fingerprints and evidence of crashes precede the records of members, because they keep
 // requests away from backend servers. The caller holds the lock.
-func (t *Table) composeMessage(now time.Duration, shared sharedState, compact, newPeer bool) *peerpb.ExchangeRequest {
+func (t *Table) composeMessage(now time.Duration, shared SharedState, compact, newPeer bool) *peerpb.ExchangeRequest {
 	own := t.ownRecord()
 	m := &peerpb.ExchangeRequest{Header: t.header(), Members: []*peerpb.Member{own}}
 	baseSize := proto.Size(m)
@@ -95,11 +107,13 @@
 	case allowance <= 0:
 	case compact:
 		allowance = min(allowance, compactMessageBytes-baseSize)
-		m.Drains = takeRotatingShare(shared.drains, &t.cursor.drains, &allowance, 2)
-		m.Quarantines = takeRotating(shared.quarantines, &t.cursor.quarantines, &allowance)
+		m.Drains = takeRotatingShare(shared.Drains, &t.cursor.drains, &allowance, 2)
+		m.Quarantines = takeRotatingShare(shared.Quarantines, &t.cursor.quarantines, &allowance, 2)
+		m.CrashEvidence = takeRotating(shared.Evidence, &t.cursor.evidence, &allowance)
 	default:
-		m.Drains = takeRotatingShare(shared.drains, &t.cursor.drains, &allowance, 4)
-		m.Quarantines = takeRotatingShare(shared.quarantines, &t.cursor.quarantines, &allowance, 4)
+		m.Drains = takeRotatingShare(shared.Drains, &t.cursor.drains, &allowance, 4)
+		m.Quarantines = takeRotatingShare(shared.Quarantines, &t.cursor.quarantines, &allowance, 4)
+		m.CrashEvidence = takeRotatingShare(shared.Evidence, &t.cursor.evidence, &allowance, 4)
 		m.Members = append(m.Members, t.takeChangedMembers(now, &allowance)...)
 		m.Members = append(m.Members, t.takeRotatingMembers(now, &allowance)...)
 	}
--- a/pkg/membership/records_test.go
+++ b/pkg/membership/records_test.go
@@ -220,7 +220,9 @@
 	return out
 }
 
-func (s *largePeerState) Merge([]*peerpb.DrainMark, []*peerpb.Quarantine) {}
+func (s *largePeerState) CrashEvidence() []*peerpb.CrashEvidence { return nil }
+
+func (s *largePeerState) Merge(SharedState) {}
 
 // Guards against an exchange that exceeds its size limit or the send budget, and
 // against an element that is never sent because others precede it.
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -244,7 +244,7 @@
 func (t *Table) HandleExchange(in *peerpb.ExchangeRequest) *peerpb.ExchangeResponse {
 	senderRecord := t.senderRecord(in)
 	s := t.readSharedState()
-	t.mergeSharedState(in.Drains, in.Quarantines)
+	t.mergeSharedState(SharedState{in.Drains, in.Quarantines, in.CrashEvidence})
 	t.mu.Lock()
 	t.stats.ExchangesServed++
 	t.stats.BytesReceived += uint64(proto.Size(in))
@@ -261,6 +261,7 @@
 	}
 	return &peerpb.ExchangeResponse{
 		Header: out.Header, Members: out.Members, Drains: out.Drains, Quarantines: out.Quarantines,
+		CrashEvidence: out.CrashEvidence,
 	}
 }
 
@@ -275,9 +276,9 @@
 	return nil
 }
 
-func (t *Table) mergeSharedState(d []*peerpb.DrainMark, q []*peerpb.Quarantine) {
-	if t.options.PeerState != nil && len(d)+len(q) > 0 {
-		t.options.PeerState.Merge(d, q)
+func (t *Table) mergeSharedState(s SharedState) {
+	if t.options.PeerState != nil && !s.isEmpty() {
+		t.options.PeerState.Merge(s)
 	}
 }
 
@@ -416,7 +417,7 @@
 	t.mergeMembers(now, out.Members)
 	t.forgetOtherIncarnations(address, out.GetHeader().GetIncarnation())
 	t.mu.Unlock()
-	t.mergeSharedState(out.Drains, out.Quarantines)
+	t.mergeSharedState(SharedState{out.Drains, out.Quarantines, out.CrashEvidence})
 	if t.shouldFetchTree(out.Header, address) {
 		t.fetchTree(ctx, t.replierFetchSlots, address, out.Header.Version)
 	}
--- a/pkg/quarantine/doc.go
+++ b/pkg/quarantine/doc.go
@@ -9,10 +9,12 @@
 // incident reached a server that was already failing and are not blamed.
 //
 // Blame on 2 different backend servers (setting quarantine.breaks, never less
-// than 2) within durationMs puts the fingerprint in quarantine. A backend server
+// than 2) within durationMs puts the fingerprint in quarantine, whichever instances
+// have seen the crashes: they exchange their evidence. A backend server
 // that fails on its own can therefore cause blame for any number of requests, but
-// no quarantine. Any response to the fingerprint removes the blame, because a
-// request that crashes servers receives no response.
+// no quarantine. A successful response to the fingerprint removes the blame at all
+// instances, because a request that crashes servers receives no response. An error
+// response does not: a backend server in trouble may fail a request before it runs it.
 //
 // Evidence on two servers cannot distinguish the crashing request from an innocent
 // one that was in progress on the same server at the same time, was retried at the
@@ -24,20 +26,25 @@
 // blamed puts it in quarantine for the full durationMs (60 s by default), followed
 // by probation again.
 //
+// The load it answers: a caller that sends a crashing request again and again, at any
+// instance. The backend servers that it costs must not grow with the number of instances.
+//
 // State: local to this instance, except fingerprints in quarantine, which the
-// entries exchange together with the remaining time. All tables are bounded: 4096
-// blamed and 1024 quarantined fingerprints, and 1024 incidents with 16 fingerprints
-// each. A full table evicts its oldest eighth. Messages: peerpb.Quarantine through
-// the gateway.
+// entries exchange together with the remaining time, and evidence (crashes, and
+// responses that clear a request), which they exchange for 10 s. All tables are
+// bounded: 4096 blamed, 1024 quarantined and 1024 cleared fingerprints, and 1024
+// incidents with 16 fingerprints each. A full table evicts its oldest eighth. Messages:
+// peerpb.Quarantine and peerpb.CrashEvidence through the gateway, peerpb.Permit for
+// trials.
 //
 // Differences from docs/design.md: the short first quarantine and probation;
 // Ran (a response proves that the request ran), Configure and FormatFingerprint
 // are additional.
 //
-// Limits: each instance needs its own evidence on two servers or the report of a
-// peer; blame is not exchanged. Several entries may each allow a trial before they
-// learn that the trial of another entry has failed.
+// Limits: an instance that is cut off from its peers decides by its own evidence and
+// admits no trials. Builds that exchange no evidence need two servers of their own.
 //
 // Tests: state machine against the invariant that evidence on two servers is
-// needed; table of incidents.
+// needed; table of incidents; fleets of 20 to 500 lists that exchange what they know;
+// test/process with real processes.
 package quarantine
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -30,6 +30,16 @@
 	// crashing request from one that was in progress with it on both servers.
 	firstDurationDivisor = 12
 	minFirstDuration     = time.Second
+
+	// mergeTolerance is the difference below which a peer reports the end that is known:
+	// the remaining time does not include the transmission time, so that a quarantine
+	// would grow with each exchange.
+	mergeTolerance = 500 * time.Millisecond
+
+	// trialIntervalDivisor divides the configured duration for the time between two
+	// trials over all instances: 20 s instead of 60 s. A trial whose instance has died
+	// has no result.
+	trialIntervalDivisor = 3
 )
 
 // Sources of a quarantine.
@@ -84,12 +94,15 @@
 	recorder         events.Recorder
 	quarantinedCount atomic.Int32 // length of quarantined, readable without the mutex
 	blames           atomic.Int32 // length of blamed, readable without the mutex
+	clearanceCount   atomic.Int32 // length of clearances, readable without the mutex
+	hasNews          atomic.Bool  // something that peers should know was learned
 
 	mu            sync.RWMutex
 	settings      dynamic.Quarantine
 	trialTimeout  time.Duration // maximum duration of a trial
 	quarantined   map[uint64]quarantineState
 	blamed        map[uint64][]blame
+	clearances    map[uint64]time.Duration // when blamed or quarantined requests ran
 	incidents     map[string]*incident
 	pendingEvents []pendingEvent
 }
@@ -106,6 +119,7 @@
 	return &List{
 		recorder: recorder, settings: settings.Quarantine, trialTimeout: dynamic.MillisToDuration(settings.AttemptTimeoutMS),
 		quarantined: map[uint64]quarantineState{}, blamed: map[uint64][]blame{}, incidents: map[string]*incident{},
+		clearances: map[uint64]time.Duration{},
 	}
 }
 
@@ -216,11 +230,7 @@
 	}
 	l.mu.Lock()
 	defer l.unlockAndRecord()
-	delete(l.blamed, fp)
-	l.blames.Store(int32(len(l.blamed)))
-	if q, ok := l.quarantined[fp]; ok && (q.isFirst || now >= q.until) {
-		l.release(fp, "ran")
-	}
+	l.clear(fp, now, "ran")
 }
 
 // Merge adds a quarantine that a peer reported. Its duration is limited to the
@@ -232,12 +242,20 @@
 	if until <= now || until <= l.quarantined[fp].until {
 		return
 	}
+	if clearedAt, ok := l.clearances[fp]; ok && now-clearedAt <= evidenceSpreadTime {
+		return // the peer does not know yet that the request ran
+	}
+	if q, ok := l.quarantined[fp]; ok && now < q.until && until <= q.until+mergeTolerance {
+		return
+	}
 	if q, ok := l.quarantined[fp]; ok {
 		q.until = until
 		l.quarantined[fp] = q
+		l.hasNews.Store(true)
 		return
 	}
 	l.addQuarantine(now, fp, quarantineState{until: until, isFirst: true, source: SourcePeer})
+	l.hasNews.Store(true)
 	l.queueEvent(eventQuarantineMerged, events.F("fingerprint", FormatFingerprint(fp)), events.F("for_ms", (until-now).Milliseconds()))
 }
 
@@ -295,14 +313,15 @@
 		return
 	}
 	for _, b := range in.onsetBreaks[:in.onsetCount] {
-		l.blame(now, b, address)
+		l.blame(now, b, address, now)
 	}
 	in.onsetCount = 0
 }
 
-// blame records blame for a broken attempt on the server at address and starts a
-// quarantine when the fingerprint is blamed on enough servers.
-func (l *List) blame(now time.Duration, broken brokenAttempt, address string) {
+// blame records blame for a broken attempt on the server at address, whose crash was
+// confirmed at a point in time, and starts a quarantine when the fingerprint is blamed on
+// enough servers.
+func (l *List) blame(now time.Duration, broken brokenAttempt, address string, confirmedAt time.Duration) {
 	fp := broken.fingerprint
 	if q, ok := l.quarantined[fp]; ok && now < q.until+dynamic.MillisToDuration(l.settings.DurationMS) {
 		l.requarantine(now, broken, address, q)
@@ -310,7 +329,8 @@
 	}
 	cutoff := now - dynamic.MillisToDuration(l.settings.DurationMS)
 	blames := slices.DeleteFunc(l.blamed[fp], func(b blame) bool { return b.address == address || b.at <= cutoff })
-	blames = append(blames, blame{address, now})
+	blames = append(blames, blame{address, confirmedAt})
+	l.hasNews.Store(true)
 	if len(blames) < max(minBlamedServers, l.settings.Breaks) {
 		evictOldest(l.blamed, maxBlamed, func(b []blame) time.Duration { return b[len(b)-1].at })
 		l.blamed[fp] = blames
@@ -343,6 +363,7 @@
 		q.addresses = append(slices.Clone(q.addresses), address)
 	}
 	l.quarantined[fp] = q
+	l.hasNews.Store(true)
 	l.queueEvent(eventQuarantinedAgain, events.F("fingerprint", FormatFingerprint(fp)), events.F("for_ms", duration.Milliseconds()), events.F("addresses", q.addresses))
 }
 
--- a/pkg/ratelimit/permits.go
+++ b/pkg/ratelimit/permits.go
@@ -48,3 +48,21 @@
 	}
 	return fromMillis(out.GetWaitMs()), out.GetState() == peerpb.PermitState_PERMIT_STATE_GRANTED
 }
+
+// TakeTrial obtains the permission for one trial of a quarantined request. Over all
+// instances there is at most one trial of a key in an interval, and none in doubt about the
+// instance that is responsible for the key.
+func (p *Permits) TakeTrial(ctx context.Context, key string, interval time.Duration) bool {
+	address, isSelf := p.directory.Responsible(key, "")
+	if address == "" || interval <= 0 {
+		return false
+	}
+	in := &peerpb.PermitRequest{Backend: key, PerSecond: float64(time.Second) / float64(interval)}
+	out, err := &peerpb.PermitResponse{}, error(nil)
+	if isSelf {
+		out = p.issuer.Issue(in)
+	} else if out, err = p.peers.Permit(ctx, address, in); err != nil {
+		return false // the peer client records the failure
+	}
+	return out.GetState() == peerpb.PermitState_PERMIT_STATE_GRANTED
+}
--- a/pkg/transport/backend.go
+++ b/pkg/transport/backend.go
@@ -36,7 +36,7 @@
 		id = r.Header.Get(names.exchange)
 	}
 	for {
-		c, err := b.acquire(ctx, s, r.Idempotent)
+		c, err := b.acquire(ctx, s, r)
 		if err != nil || !c.hasServed(id) {
 			return c, err
 		}
@@ -47,12 +47,12 @@
 
 // acquire returns a connection for one exchange. b.mu must be held; acquire
 // unlocks it.
-func (b *backend) acquire(ctx context.Context, s *dynamic.Service, idempotent bool) (*conn, error) {
+func (b *backend) acquire(ctx context.Context, s *dynamic.Service, r *Request) (*conn, error) {
 	// The permit of a dropped connection is kept, so that the sweep does not
 	// remove the backend in the meantime.
 	hasPermit := false
-	for {
-		c := b.takeIdle(idempotent, hasPermit || b.openCount < s.ConnectionsPerInstance(), s)
+	for !r.NewConnection {
+		c := b.takeIdle(r.Idempotent, hasPermit || b.openCount < s.ConnectionsPerInstance(), s)
 		if c == nil {
 			break
 		}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -46,6 +46,8 @@
 	// if headers.instance is set. The request carries no exchange ID if
 	// headers.exchange differs from ExchangeHeader.
 	Probe bool
+	// NewConnection requires a connection that has served no other request.
+	NewConnection bool
 	// MayStart is called when a connection is at hand, right before the request is
 	// written. If it returns false, the request is not sent and fails as Withdrawn:
 	// until then it may have waited for the connection. nil: the request is sent.
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -59,10 +60,30 @@
 type process struct {
 	cmd     *exec.Cmd
 	address string // IP address without port
-	log     *bytes.Buffer
+	log     *logBuffer
 	exited  chan struct{}
 }
 
+// logBuffer holds the log of a process. It can be read while the process runs.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns what the process has logged so far.
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // loopbackIP returns the IP address of entry i. Each entry has its own address, so
 // that fixed ports are free whatever else runs: the kernel assigns ports for
 // outgoing loopback connections on 127.0.0.1 only.
@@ -117,7 +138,7 @@
 
 // startEntry starts entry i of entries and appends its process to f.entries.
 func (f *fleet) startEntry(i, entries int) {
-	p := &process{address: loopbackIP(i), log: &bytes.Buffer{}, exited: make(chan struct{})}
+	p := &process{address: loopbackIP(i), log: &logBuffer{}, exited: make(chan struct{})}
 	p.cmd = exec.Command(entryBinary, "--settings", f.writeSettings(i, entries))
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log // the same writer for both, so that exec serializes writes
 	require.NoError(f.t, p.cmd.Start())
