Membership: bound the calls between failure domains

Cause: each instance called a peer in another failure domain in every fourth round, so bytes between failure domains grew with the fleet. Urgent changes are sent to random peers as before.

--- a/pkg/membership/doc.go
+++ b/pkg/membership/doc.go
@@ -14,7 +14,8 @@
 // never compared for this.
 //
 // Messages: every 500 ms an entry sends an Exchange to one random peer, in
-// three rounds out of four within its own failure domain. An Exchange carries
+// three rounds out of four within its own failure domain, and in a large failure domain
+// in more of them (domains.go). An Exchange carries
 // the sender's settings version; the side with the lower version fetches the
 // tree from the other. After adopting a tree or changing its phase or
 // successor, an entry sends an Exchange to three random peers immediately, so
--- a/pkg/membership/fleet_test.go
+++ b/pkg/membership/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -40,8 +41,9 @@
 	instances         []platform.Instance
 	revision          uint64
 	changed           chan struct{}
-	treeCallsFail     bool // Tree calls to peers fail
-	instanceListEmpty bool // the platform serves an empty instance list
+	treeCallsFail     bool         // Tree calls to peers fail
+	instanceListEmpty bool         // the platform serves an empty instance list
+	domainCrossings   atomic.Int64 // Exchange calls to another failure domain
 }
 
 // node is one incarnation of an entry. It implements the clock, the peer client
@@ -362,7 +364,12 @@
 
 // Exchange implements membership.Client.
 func (n *node) Exchange(ctx context.Context, address string, in *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	return callForReply(ctx, n, address, func(to *node) *peerpb.ExchangeResponse { return to.table.HandleExchange(in) })
+	return callForReply(ctx, n, address, func(to *node) *peerpb.ExchangeResponse {
+		if to.self.FailureDomain != n.self.FailureDomain {
+			n.f.domainCrossings.Add(1)
+		}
+		return to.table.HandleExchange(in)
+	})
 }
 
 // Tree implements membership.Client.
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -19,14 +19,13 @@
 
 // Intervals, timeouts and limits of exchanges.
 const (
-	round                    = 500 * time.Millisecond // between exchanges with a random peer
-	otherDomainRoundInterval = 4                      // every n-th round calls a peer in another failure domain
-	exchangeTimeout          = time.Second
-	treeTimeout              = 3 * time.Second
-	notifyFanout             = 3                     // peers per notification
-	minNotifyInterval        = 50 * time.Millisecond // between notifications, so that a burst of changes shares one
-	maxConcurrentCalls       = 8                     // outgoing calls in progress
-	maxConcurrentFetches     = 2                     // tree fetches in progress, separately from senders and from repliers
+	round                = 500 * time.Millisecond // between exchanges with a random peer
+	exchangeTimeout      = time.Second
+	treeTimeout          = 3 * time.Second
+	notifyFanout         = 3                     // peers per notification
+	minNotifyInterval    = 50 * time.Millisecond // between notifications, so that a burst of changes shares one
+	maxConcurrentCalls   = 8                     // outgoing calls in progress
+	maxConcurrentFetches = 2                     // tree fetches in progress, separately from senders and from repliers
 	// DefaultBytesPerSecond is the default send budget of one instance for
 	// exchanges. An instance receives about as much, so that both stay below
 	// the limit of 12 KB/s for control traffic.
@@ -359,7 +358,7 @@
 	t.self.Counter++
 	t.pruneRecords(t.now())
 	t.updateLiveShare(t.now())
-	sameDomain := t.roundCount%otherDomainRoundInterval != 0
+	sameDomain := t.roundCount%t.otherDomainInterval() != 0
 	t.mu.Unlock()
 	if address := t.randomPeer(sameDomain); address != "" {
 		t.startExchange(ctx, address, false, exchangeTimeout)
