Cold backend servers: permits within the rate that their service states

A backend server that is cold crashed at a rate that all entries together reached when they found it idle at the same moment. Where a service states warmup.perSecond, a cold backend server is now treated as one that states a rate limit: one issuer permits each request, at a rate and with a burst that keep every second within perSecond * overshoot + slack. Its registration and its health responses say how long it is cold; a request that was assigned before it turned cold is not sent. An instance reserves as many permits as it uses, a permit ends by time, and reservations reach at most a second ahead.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -27,6 +27,24 @@
 	Headers     Headers     `json:"headers"`
 	Responses   Responses   `json:"responses"`
 	Paths       Paths       `json:"paths"`
+	Warmup      Warmup      `json:"warmup"`
+}
+
+// Warmup holds the limit on requests to a backend server that is cold, which is
+// for some time after its start and whenever it states so. Without a limit it
+// gets requests as a slow one.
+type Warmup struct {
+	// PerSecond is the number of requests per second, from all entries together,
+	// that a cold backend server tolerates; default 0, which sets no limit.
+	PerSecond float64 `json:"perSecond"`
+	// Seconds is how long a backend server is cold at most after its start; default 0:
+	// not stated. It bounds what the instance list states, which another writer may
+	// have written.
+	Seconds float64 `json:"seconds"`
+	// Overshoot and Slack bound the requests in any one second, from all entries
+	// together, to PerSecond * Overshoot + Slack; default 1.5 and 8.
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
 }
 
 // Keys holds the settings of idempotency keys.
@@ -160,6 +178,11 @@
 	// Backend-Rate-Limit. A response without the field states that there is no limit.
 	// Empty reads none.
 	RateLimit string `json:"rateLimit"`
+	// Warmup names the field in which a backend server states for how many
+	// milliseconds it stays cold, a decimal number; default empty, which reads none.
+	// A response without the field says nothing about that. It has no effect
+	// without a limit in Warmup.
+	Warmup string `json:"warmup"`
 }
 
 // Load report formats.
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -122,6 +122,8 @@
 		states                 map[string]int
 		picks, failed          uint64
 		weight                 float64
+		coldLeft               time.Duration // longest of all entries
+		permits                int           // entries that hold a permit
 	}
 	rows := map[string]*row{}
 	var picks uint64
@@ -138,19 +140,23 @@
 			r.picks += b.Picks
 			r.failed += b.Failed
 			r.weight += b.Weight
+			r.coldLeft = max(r.coldLeft, b.ColdLeft)
+			if b.HasPermit {
+				r.permits++
+			}
 			picks += b.Picks
 		}
 	}
 	printLine(w, "%d backend servers as seen by %d entries", len(rows), len(replies))
-	printLine(w, "backend server\tfailure domain\tattempts\tshare\tfailed\tmean weight\tlisted at\tstates")
+	printLine(w, "backend server\tfailure domain\tattempts\tshare\tfailed\tmean weight\tlisted at\tcold for\tpermits at\tstates")
 	for _, address := range sortedKeys(rows) {
 		r := rows[address]
 		var states []string
 		for _, s := range sortedKeys(r.states) {
 			states = append(states, fmt.Sprintf("%s at %d", s, r.states[s]))
 		}
-		printLine(w, "%s\t%s\t%d\t%.1f%%\t%d\t%.2f\t%d of %d\t%s", r.address, r.failureDomain, r.picks, 100*float64(r.picks)/float64(max(1, picks)),
-			r.failed, r.weight/float64(r.entries), r.entries, len(replies), strings.Join(states, ", "))
+		printLine(w, "%s\t%s\t%d\t%.1f%%\t%d\t%.2f\t%d of %d\t%s\t%d\t%s", r.address, r.failureDomain, r.picks, 100*float64(r.picks)/float64(max(1, picks)),
+			r.failed, r.weight/float64(r.entries), r.entries, len(replies), formatDuration(r.coldLeft), r.permits, strings.Join(states, ", "))
 	}
 }
 
--- a/pkg/gateway/dispatch.go
+++ b/pkg/gateway/dispatch.go
@@ -38,6 +38,7 @@
 // be read; after that endAttempt must be called exactly once.
 func (c *call) sendAttempt(ctx context.Context, server *routing.Server, timeout time.Duration) *attempt {
 	a := &attempt{server: server, start: time.Now(), serverState: serverState(c.g.now(), server)}
+	assignedAt := c.g.now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	a.cancel = func() { cancel(nil) }
 	if timeout > 0 {
@@ -58,7 +59,7 @@
 		Body:             c.body,
 		Idempotent:       c.isIdempotent(),
 		ExpectedInstance: server.ID(),
-		MayStart:         func() bool { return c.svc.mayStart(server) },
+		MayStart:         func() bool { return c.svc.mayStart(server, assignedAt) },
 	})
 	a.latency = time.Since(a.start)
 	c.svc.observeReach(server, a.failure, false)
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -13,6 +13,7 @@
 	eventServiceUnreachable   = events.NewChange(6006, logrus.WarnLevel, "service_unreachable", "no backend server of a service is reached; requests are handed to peers")
 	eventServiceReached       = events.NewChange(6007, logrus.InfoLevel, "service_reached", "a backend server of the service is reached again")
 	eventServerBackoff        = events.New(6005, logrus.InfoLevel, "backend_backoff", "a backend server has refused a request and gets no further ones from this instance for some time")
+	eventServerCold           = events.New(6030, logrus.InfoLevel, "backend_cold", "a backend server has stated that it is cold; until it is warm, its requests need permits that one instance issues for all")
 	// Each non-idempotent request whose outcome the caller does not know is
 	// written to the log stream, which outlives the instance, so that operators
 	// can inform the customer proactively.
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -288,6 +288,8 @@
 }
 
 func (p fixturePeers) Permit(ctx context.Context, address string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond) // as package peer does
+	defer cancel()
 	i, err := p.gateway(ctx, address)
 	if err != nil {
 		return nil, err
--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -16,6 +16,7 @@
 	ejected     tally.Gauge
 	draining    tally.Gauge
 	rateLimited tally.Gauge // that state a rate limit
+	cold        tally.Gauge // that get requests only by permits because they are cold
 	connections tally.Gauge // to backend servers, idle and in use
 	retryTokens tally.Gauge // extra attempts that may be sent now
 }
@@ -23,7 +24,7 @@
 func newGauges(scope tally.Scope) gauges {
 	return gauges{
 		backends: scope.Gauge("backends"), ejected: scope.Gauge("backends_ejected"), draining: scope.Gauge("backends_draining"),
-		rateLimited: scope.Gauge("backends_rate_limited"),
+		rateLimited: scope.Gauge("backends_rate_limited"), cold: scope.Gauge("backends_cold"),
 		connections: scope.Gauge("backend_connections"), retryTokens: scope.Gauge("retry_tokens"),
 	}
 }
@@ -35,6 +36,7 @@
 	s.gauges.ejected.Update(float64(ejected))
 	s.gauges.draining.Update(float64(draining))
 	s.gauges.rateLimited.Update(float64(len(s.routingSet.RateLimited())))
+	s.gauges.cold.Update(float64(s.routingSet.ColdCount()))
 	s.gauges.connections.Update(float64(s.pool.OpenConnections()))
 	s.gauges.retryTokens.Update(s.retryBudget.Tokens())
 }
--- a/pkg/gateway/rate_limit_test.go
+++ b/pkg/gateway/rate_limit_test.go
@@ -28,12 +28,12 @@
 	return int(1.5*perSecond*rateLimitWindow.Seconds()) + 5
 }
 
-// maxInWindow returns the largest number of arrivals within rateLimitWindow after a
-// point in time.
-func maxInWindow(arrivals []time.Time, after time.Time) (most int) {
+// maxInWindow returns the largest number of arrivals within a window after a point in
+// time.
+func maxInWindow(arrivals []time.Time, after time.Time, window time.Duration) (most int) {
 	first := 0
 	for i, at := range arrivals {
-		for arrivals[first].Before(after) || at.Sub(arrivals[first]) > rateLimitWindow {
+		for arrivals[first].Before(after) || at.Sub(arrivals[first]) > window {
 			if first == i {
 				break
 			}
@@ -101,7 +101,7 @@
 		named := time.Now()
 		f.sendSteadily(tt.interval, 15*time.Second)
 		for address, b := range limited {
-			require.LessOrEqual(t, maxInWindow(b.Arrivals(), named.Add(rateLimitNotice)), allowedInWindow(tt.perSecond), address)
+			require.LessOrEqual(t, maxInWindow(b.Arrivals(), named.Add(rateLimitNotice), rateLimitWindow), allowedInWindow(tt.perSecond), address)
 		}
 	})
 }
--- a/pkg/gateway/select.go
+++ b/pkg/gateway/select.go
@@ -34,6 +34,9 @@
 	if !c.svc.routingSet.NeedsPermit(exclude) {
 		return nil
 	}
+	if c.svc.routingSet.EndWarmups(c.g.now()) && !c.svc.routingSet.NeedsPermit(exclude) {
+		return nil
+	}
 	c.svc.permits.Request(c.svc.routingSet.PermitCandidates(), true)
 	wait, expected := c.svc.permits.NextPermit()
 	if expected && wait <= dynamic.MillisToDuration(c.settings.Queue.MaxWaitMS) {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -122,6 +122,7 @@
 		},
 	})
 	s.permits = permits
+	s.configureWarmup(settings)
 	s.settings.Store(settings)
 	s.lastAttempt.Store(-int64(serviceIdleTimeout) - 1)
 	s.peers = newHandoffPeers(s, &g.options)
@@ -145,6 +146,7 @@
 		server.SetLimit(c.Limit())
 	}
 	s.concurrencyLimitsMu.Unlock()
+	s.configureWarmup(settings)
 	return s.routingSet.Configure(settings)
 }
 
@@ -166,6 +168,7 @@
 	}
 	s.pruneConcurrencyLimits()
 	s.updateWeights()
+	s.requestWarmupPermits()
 }
 
 // Sources of signals, as events name them.
@@ -174,8 +177,8 @@
 	sourceLoadQuery = "load_query" // also of probes and health checks
 )
 
-// observeSignals records the load report, the rate limit, the backoff and the drain
-// signal of a response.
+// observeSignals records the load report, the rate limit, the remaining warm-up, the
+// backoff and the drain signal of a response.
 func (s *service) observeSignals(server *routing.Server, sig transport.Signals, source string) {
 	if sig.HasReport {
 		server.RecordReport(s.now(), sig.Report, 0)
@@ -186,6 +189,9 @@
 		s.recorder.Record(eventRateLimitChanged, events.F("backend", server.Key()), events.F("source", source),
 			events.F("limited", sig.RateLimit.Stated), events.F("per_second", sig.RateLimit.PerSecond))
 	}
+	if sig.HasWarmupLeft {
+		s.observeWarmup(server, sig.WarmupLeft, source)
+	}
 	if sig.RetryAfter > 0 {
 		s.backOff(server, sig.RetryAfter)
 	}
@@ -196,10 +202,10 @@
 }
 
 // mayStart reports whether a request that was assigned to a backend server may be sent
-// now: the server is still listed, and has neither begun to leave nor refused another
-// request for some time meanwhile.
-func (s *service) mayStart(server *routing.Server) bool {
-	return s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
+// now: the server is still listed, and has neither begun to leave, refused another
+// request for some time nor turned cold meanwhile.
+func (s *service) mayStart(server *routing.Server, assignedAt time.Duration) bool {
+	return !server.HasTurnedCold(assignedAt) && s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
 }
 
 // finishAttempt releases the capacity of an attempt, updates the concurrency
@@ -251,11 +257,12 @@
 	}
 }
 
-// updateWeights applies ejections, drains, slow starts and the ends of backoffs to the
-// routing weights. It also closes the idle connections of backend servers that get no
+// updateWeights applies ejections, drains, slow starts and the ends of backoffs and
+// warm-ups to the routing weights. It also closes the idle connections of backend servers that get no
 // requests, and notifies the peers of new drains.
 func (s *service) updateWeights() {
 	s.endBackoffs()
+	s.routingSet.EndWarmups(s.now())
 	for _, change := range s.outliers.Sweep(s.now()) {
 		server := s.routingSet.Server(change.Address)
 		if server == nil {
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/platform"
 	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/settings"
@@ -42,6 +44,8 @@
 	// soakDrain is a little more than soakLag, the time until idle connections to peers
 	// are closed and the time to make one.
 	soakDrain = 400 * time.Millisecond
+	// soakCold is how long the second backend server is cold at a time.
+	soakCold = 300 * time.Millisecond
 )
 
 // soakInstance is an instance that is stopped in an orderly way and started again.
@@ -57,7 +61,9 @@
 // soak is a fleet over loopback sockets in front of backend servers over pipes.
 type soak struct {
 	t         *testing.T
-	backend   *pipe.Backend
+	backends  [2]*pipe.Backend // the second one turns cold now and then
+	issuer    *ratelimit.Issuer
+	colds     []time.Time                // when the second backend server turned cold
 	cut       [soakInstances]atomic.Bool // from all backend servers
 	mu        sync.Mutex
 	instances [soakInstances]*soakInstance
@@ -72,23 +78,27 @@
 	store := settings.NewStore(events.Discard{}, c)
 	directory := soakDirectory{s, i}
 	issuer := ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: c, Epoch: store.Epoch})
+	if i == 0 {
+		s.issuer = issuer
+	}
 	g := New(Options{
 		Instance: fmt.Sprintf("entry-%d", i), Incarnation: rand.Uint64(), Region: "r", Store: store, Owner: owner,
 		Claimant: ledger.NewClaimant(owner, keyring, fixturePeers{&fixture{}}, c, "127.0.0.1:1"),
-		Permits:  ratelimit.NewPermits(directory, issuer, fixturePeers{&fixture{}}),
+		Permits:  ratelimit.NewPermits(directory, issuer, directory),
 		Log:      audit.New(1000, 100), Recorder: events.Discard{}, Scope: tally.NoopScope,
 		OrdinalConflict: func() bool { return true }, NotifyPeers: func() {}, Instances: func() int { return 1 }, Ready: func() (bool, string) { return true, "" },
 		Peers: directory, PeerSecret: "secret of the fleet",
-		dial: func(context.Context, string) (net.Conn, error) {
+		dial: func(_ context.Context, address string) (net.Conn, error) {
 			if s.cut[i].Load() {
 				return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 			}
-			return s.backend.DialFrom(i)
+			return s.backends[slices.Index(soakAddresses, address)].DialFrom(i)
 		},
 	})
 	tree := strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 5000, "requireKey": false`, 1)
+	tree = coldTree(tree)
 	require.Equal(s.t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
-	g.UpdateInstances([]platform.Instance{{Kind: platform.KindBackend, Service: "shop", Address: "127.0.0.1:9000", State: platform.StateLive}})
+	g.UpdateInstances(soakList(0))
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -109,6 +119,33 @@
 	s.announce(instance.requestsAddress, true)
 }
 
+// soakAddresses are the addresses of the backend servers.
+var soakAddresses = []string{"127.0.0.1:9000", "127.0.0.1:9001"}
+
+// soakList returns the instance list with the remaining warm-up of the second backend
+// server.
+func soakList(left time.Duration) (list []platform.Instance) {
+	for _, address := range soakAddresses {
+		list = append(list, platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: address, State: platform.StateLive})
+	}
+	list[1].WarmupRemaining = left
+	return list
+}
+
+// turnCold makes the second backend server cold for soakCold.
+func (s *soak) turnCold() {
+	s.backends[1].TurnCold(soakCold)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		instance.gateway.UpdateInstances(soakList(soakCold))
+	}
+	s.colds = append(s.colds, time.Now())
+}
+
+// runs returns how often the request with the token ran.
+func (s *soak) runs(token string) int { return s.backends[0].Runs(token) + s.backends[1].Runs(token) }
+
 func (s *soak) listen(address string) net.Listener {
 	l, err := net.Listen("tcp", address)
 	require.NoError(s.t, err)
@@ -151,7 +188,13 @@
 	self int
 }
 
-func (d soakDirectory) Responsible(string, string) (string, bool) { return "", true }
+// Responsible names the instance that is not restarted.
+func (d soakDirectory) Responsible(string, string) (string, bool) { return "instance 0", d.self == 0 }
+
+// Permit implements ratelimit.PeerClient.
+func (d soakDirectory) Permit(_ context.Context, _ string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	return d.s.issuer.Issue(in), nil
+}
 
 func (d soakDirectory) LiveShare() float64 { return 1 }
 
@@ -184,7 +227,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	runs := s.backend.Runs(token)
+	runs := s.runs(token)
 	switch run := resp.Header.Get(runHeader); {
 	case err != nil:
 		counts.broken.Add(1)
@@ -217,8 +260,10 @@
 }
 
 func playSoak(t *testing.T, random *rand.Rand) {
-	s := &soak{t: t, backend: pipe.New(), acceptors: map[string]bool{}}
-	defer s.backend.Close()
+	s := &soak{t: t, backends: [2]*pipe.Backend{pipe.New(), pipe.New()}, acceptors: map[string]bool{}}
+	for _, b := range s.backends {
+		defer b.Close()
+	}
 	for i := range soakInstances {
 		s.start(i)
 	}
@@ -239,6 +284,7 @@
 		})
 	}
 	for ctx.Err() == nil {
+		s.turnCold()
 		restarted := random.Perm(soakInstances - 1)[:1+random.IntN(2)]
 		var restarts sync.WaitGroup
 		for _, i := range restarted {
@@ -255,6 +301,10 @@
 	for i := range soakInstances {
 		s.shutDown(i)
 	}
+	for _, since := range s.colds {
+		arrivals := slices.DeleteFunc(s.backends[1].Arrivals(), func(at time.Time) bool { return at.Before(since) || at.Sub(since) >= soakCold })
+		require.LessOrEqual(t, len(arrivals), maxColdRequests, "a cold backend server")
+	}
 	t.Logf("served %d, refused as not run %d, unknown %d, broken %d", counts.served.Load(), counts.refused.Load(), counts.unknown.Load(), counts.broken.Load())
 	require.Zero(t, counts.unknown.Load(), "only peers that shut down in an orderly way are involved")
 	require.Zero(t, counts.broken.Load())
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -78,7 +78,9 @@
 	ReportedLoad  int32         `json:"reported_load"` // running and waiting requests
 	EstimatedLoad float64       `json:"estimated_load"`
 	MeanLoad      float64       `json:"mean_load"`
-	Ejections     int           `json:"ejections"` // number of ejections that determines the duration of the next one
+	ColdLeft      time.Duration `json:"cold_left_ns"` // time until the backend server is warm; 0: it is
+	HasPermit     bool          `json:"has_permit"`   // the entry holds a permit for one request to the rate-limited or cold backend server
+	Ejections     int           `json:"ejections"`    // number of ejections that determines the duration of the next one
 }
 
 // Settings holds the settings of a service that are in force at an instance.
@@ -162,6 +164,7 @@
 		Failed: e.Failed, ErrorShare: e.ErrorShare, Latency: e.Latency, MeanLatency: e.MeanLatency,
 		HasReport: e.HasReport, ReportAge: e.ReportAge, ReportedLoad: e.Report.Load(),
 		EstimatedLoad: e.EstimatedLoad, MeanLoad: e.MeanLoad, Ejections: i.Ejections,
+		ColdLeft: e.WarmupLeft, HasPermit: e.HasPermit,
 	}
 }
 
--- a/pkg/ratelimit/holder.go
+++ b/pkg/ratelimit/holder.go
@@ -23,12 +23,20 @@
 	maxUnusedBackoff = 4 * time.Second
 )
 
+// Query asks for the permit for one request.
+type Query struct {
+	Server     *routing.Server
+	Limit      routing.RateLimit
+	Age        time.Duration // since the statement of Limit
+	MaxWait    time.Duration // how long the permit can be waited for
+	WarmupLeft time.Duration // with Limit.Warmup: how long the backend server is still cold
+}
+
 // Source grants permits. It is implemented by Permits.
 type Source interface {
-	// Take obtains the permit for one request to s, which stated the limit age ago.
-	// If granted, the permit becomes usable after wait, which is at most maxWait;
-	// otherwise no permit is expected before wait.
-	Take(ctx context.Context, s *routing.Server, limit routing.RateLimit, age, maxWait time.Duration) (wait time.Duration, granted bool)
+	// Take obtains a permit. If granted, it becomes usable after wait, which is at most
+	// q.MaxWait; otherwise no permit is expected before wait.
+	Take(ctx context.Context, q Query) (wait time.Duration, granted bool)
 }
 
 // HolderOptions are the dependencies of a Holder.
@@ -46,8 +54,9 @@
 type Holder struct {
 	options HolderOptions
 
-	mu    sync.Mutex
-	holds map[*routing.Server]*hold
+	mu     sync.Mutex
+	holds  map[*routing.Server]*hold
+	demand demand // for permits of cold backend servers
 }
 
 // holdState is the state of the permit for one backend server.
@@ -64,12 +73,14 @@
 type hold struct {
 	state  holdState
 	until  time.Duration
-	unused int // number of permits in sequence that expired without use
+	unused int  // number of permits in sequence that expired without use
+	denied int  // number of denials in sequence
+	warmup bool // of a cold backend server
 }
 
 // NewHolder returns a Holder without permits.
 func NewHolder(o HolderOptions) *Holder {
-	return &Holder{options: o, holds: map[*routing.Server]*hold{}}
+	return &Holder{options: o, holds: map[*routing.Server]*hold{}, demand: newDemand()}
 }
 
 // Request requests permits for the given backend servers where none is held,
@@ -116,6 +127,9 @@
 	defer h.mu.Unlock()
 	if p := h.holds[s]; p != nil && p.state == usable {
 		p.unused = 0
+		if p.warmup {
+			h.demand.used()
+		}
 		h.request(s, p)
 		h.options.Ended(false)
 	}
@@ -150,38 +164,71 @@
 
 // request asks for a permit in the background. The caller holds h.mu.
 func (h *Holder) request(s *routing.Server, p *hold) {
-	limit, age := s.RateLimit(h.options.Now())
-	if !limit.Stated {
-		p.state = paused
+	p.state = paused // does not count in query
+	q, ok := h.query(s)
+	if !ok {
 		return
 	}
-	p.state = asking
+	p.state, p.warmup = asking, q.Limit.Warmup
 	h.options.Go(func() {
-		wait, granted := h.options.Source.Take(context.Background(), s, limit, age, maxPermitWait)
+		wait, granted := h.options.Source.Take(context.Background(), q)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		p.until = h.options.Now() + wait
 		if !granted {
 			p.state = paused
+			if p.warmup {
+				p.until += denialBackoff(p.denied)
+				p.denied++
+			}
 			return
 		}
-		p.state = reserved
-		time.AfterFunc(wait, func() { h.activate(s, p, limit) })
+		p.state, p.denied = reserved, 0
+		time.AfterFunc(wait, func() { h.activate(s, p, q.Limit) })
 	})
 }
 
+// query returns the query for a permit, false if s needs none, or is cold and there are
+// as many permits as the demand justifies.
+func (h *Holder) query(s *routing.Server) (q Query, ok bool) {
+	now := h.options.Now()
+	limit, age := s.RateLimit(now)
+	q = Query{Server: s, Limit: limit, Age: age, MaxWait: maxPermitWait}
+	if limit.Warmup {
+		q.WarmupLeft = s.WarmupLeft(now)
+		q.MaxWait = min(maxWarmupWait, q.WarmupLeft)
+		if q.WarmupLeft <= 0 || !h.demand.allows(h.warmupPermits()) {
+			return q, false
+		}
+	}
+	return q, limit.Stated
+}
+
+// warmupPermits returns the number of permits of cold backend servers that are usable,
+// reserved or requested. The caller holds h.mu.
+func (h *Holder) warmupPermits() (n int) {
+	for _, p := range h.holds {
+		if p.warmup && p.state != paused {
+			n++
+		}
+	}
+	return n
+}
+
 // activate makes a reserved permit usable unless the rate limit has changed since it
-// was requested.
+// was requested, or the process was paused until the permit expired.
 func (h *Holder) activate(s *routing.Server, p *hold, limit routing.RateLimit) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if current, _ := s.RateLimit(h.options.Now()); current != limit {
+	now := h.options.Now()
+	until := p.until + permitLifetime
+	if current, _ := s.RateLimit(now); current != limit || now >= until {
 		p.state = paused
 		return
 	}
-	p.state, p.until = usable, h.options.Now()+permitLifetime
-	s.GrantPermit()
-	time.AfterFunc(permitLifetime, func() { h.expire(s, p) })
+	p.state, p.until = usable, until
+	s.GrantPermit(until)
+	time.AfterFunc(until-now, func() { h.expire(s, p) })
 	h.options.Wake()
 }
 
@@ -195,7 +242,12 @@
 		return
 	}
 	s.RevokePermit()
-	backoff := min(maxUnusedBackoff, minUnusedBackoff<<min(p.unused, 8))
+	longest := maxUnusedBackoff
+	if p.warmup {
+		longest = maxWarmupBackoff
+		h.demand.unused()
+	}
+	backoff := min(longest, minUnusedBackoff<<min(p.unused, 8))
 	p.unused++
 	p.state, p.until = paused, now+backoff
 	h.options.Ended(true)
--- a/pkg/ratelimit/holder_test.go
+++ b/pkg/ratelimit/holder_test.go
@@ -24,7 +24,7 @@
 	calls  atomic.Int32
 }
 
-func (s *source) Take(context.Context, *routing.Server, routing.RateLimit, time.Duration, time.Duration) (time.Duration, bool) {
+func (s *source) Take(context.Context, ratelimit.Query) (time.Duration, bool) {
 	s.calls.Add(1)
 	return s.wait, !s.denied
 }
--- a/pkg/ratelimit/issuer.go
+++ b/pkg/ratelimit/issuer.go
@@ -80,6 +80,9 @@
 	}
 	m := i.meter(now, in.GetBackend())
 	m.setRate(now, now-fromMillis(in.GetLimitAgeMs()), in.GetPerSecond())
+	if left := fromMillis(in.GetWarmupLeftMs()); left > 0 {
+		m.observeWarmup(now, left, in.GetPerSecond(), in.GetWasWarm())
+	}
 	wait, granted := m.take(now, fromMillis(in.GetMaxWaitMs()), share)
 	state := peerpb.PermitState_PERMIT_STATE_EXHAUSTED
 	if granted {
--- a/pkg/ratelimit/issuer_test.go
+++ b/pkg/ratelimit/issuer_test.go
@@ -148,6 +148,47 @@
 	require.Zero(t, granted(0, 0))
 }
 
+// askCold asks for a permit of a backend server that is cold for another 3 s.
+func (i *testIssuer) askCold(perSecond float64, wasWarm bool) *peerpb.PermitResponse {
+	return i.Issue(&peerpb.PermitRequest{Backend: backend, PerSecond: perSecond, MaxWaitMs: 1000, WarmupLeftMs: 3000, WasWarm: wasWarm})
+}
+
+// Guards against more requests to a cold backend server in one second than are allowed,
+// whatever its rate, and against permits in the time in which some instances still use it
+// without, because it turned cold while it was in use.
+func TestPermitsOfColdBackendServers(t *testing.T) {
+	const overshoot, slack = 1.5, 8
+	// delays is the longest time from the moment at which a permit becomes usable to the
+	// request: its lifetime, the reply of the issuer and the wait for a connection.
+	const delays = 600*time.Millisecond + 100*time.Millisecond + 400*time.Millisecond
+	for _, perSecond := range []float64{0.4, 6.3, 30, 400} {
+		for _, wasWarm := range []bool{false, true} {
+			i := newTestIssuer()
+			start := i.clock.Read().Mono
+			rate := ratelimit.WarmupRate(perSecond, overshoot, slack)
+			require.GreaterOrEqual(t, rate, 0.68*perSecond)
+			var usableAt []time.Duration
+			for range 300 {
+				if out := i.askCold(rate, wasWarm); isGranted(out) {
+					usableAt = append(usableAt, i.clock.Read().Mono+time.Duration(out.WaitMs)*time.Millisecond)
+				}
+				i.clock.Advance(10 * time.Millisecond)
+			}
+			for first, last := 0, 0; last < len(usableAt); last++ {
+				for usableAt[last]-usableAt[first] > time.Second+delays {
+					first++
+				}
+				require.LessOrEqual(t, float64(last-first+1), perSecond*overshoot+slack, "at %g per second", perSecond)
+			}
+			if wasWarm {
+				require.GreaterOrEqual(t, usableAt[0]-start, time.Second, "all instances know")
+			} else {
+				require.Equal(t, start, usableAt[0])
+			}
+		}
+	}
+}
+
 // Guards against meters that are kept for backend servers that are gone.
 func TestMetersAreForgotten(t *testing.T) {
 	i := newTestIssuer()
--- a/pkg/ratelimit/meter.go
+++ b/pkg/ratelimit/meter.go
@@ -12,11 +12,13 @@
 
 // meter meters the permits of one backend server by the generic cell rate
 // algorithm. In any span d it grants at most 1 + (d + burstTime) * perSecond permits
-// while the rate does not change.
+// while the rate does not change, with warmupBurstTime in place of burstTime while the
+// backend server is cold.
 type meter struct {
 	perSecond float64
 	statedAt  time.Duration // when the backend server stated perSecond
 	nextAt    time.Duration // theoretical arrival time of the next permit
+	warmup    warmupPeriod
 }
 
 // setRate sets the rate that the backend server stated at a point in time, unless a
@@ -31,14 +33,21 @@
 	}
 	m.perSecond = perSecond
 	// A low earlier rate must not delay the permits of a higher one.
-	m.nextAt = min(m.nextAt, now+burstTime+m.interval(1))
+	m.nextAt = min(m.nextAt, now+burstTime+interval(perSecond))
 }
 
-// interval returns the time between two permits at a share of the rate. It is
-// limited, so that sums with it don't overflow.
-func (m *meter) interval(share float64) time.Duration {
+// rate returns the rate in force and the time whose requests may be sent at once.
+func (m *meter) rate(now time.Duration) (perSecond float64, burst time.Duration) {
+	if now < m.warmup.until {
+		return min(m.perSecond, m.warmup.perSecond), warmupBurstTime
+	}
+	return m.perSecond, burstTime
+}
+
+// interval returns the time between two permits at a rate. It is limited, so that sums
+// with it don't overflow.
+func interval(rate float64) time.Duration {
 	const longest = 24 * time.Hour
-	rate := m.perSecond * share
 	if rate*longest.Seconds() <= 1 {
 		return longest
 	}
@@ -49,11 +58,12 @@
 // and returns the time until it may be used. Otherwise wait is the time until a
 // permit may be available, at most maxDenial.
 func (m *meter) take(now, maxWait time.Duration, share float64) (wait time.Duration, granted bool) {
-	usableAt := max(now, m.nextAt-burstTime)
+	perSecond, burst := m.rate(now)
+	usableAt := max(now, m.nextAt-burst)
 	wait = usableAt - now
-	if m.perSecond*share <= 0 || wait > maxWait {
+	if perSecond*share <= 0 || wait > maxWait {
 		return min(maxDenial, max(wait-maxWait, time.Millisecond)), false
 	}
-	m.nextAt = max(m.nextAt, usableAt) + m.interval(share)
+	m.nextAt = max(m.nextAt, usableAt) + interval(perSecond*share)
 	return wait, true
 }
--- a/pkg/ratelimit/permits.go
+++ b/pkg/ratelimit/permits.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"lentilpin/pkg/peer/peerpb"
-	"lentilpin/pkg/routing"
 )
 
 // unreachableBackoff is how long an instance does not ask again for the permits of
@@ -31,14 +30,18 @@
 }
 
 // Take implements Source.
-func (p *Permits) Take(ctx context.Context, s *routing.Server, limit routing.RateLimit, age, maxWait time.Duration) (wait time.Duration, granted bool) {
+func (p *Permits) Take(ctx context.Context, q Query) (wait time.Duration, granted bool) {
+	s := q.Server
 	address, isSelf := p.directory.Responsible(s.Key(), s.FailureDomain())
 	if address == "" {
 		return refusalBackoff, false
 	}
 	in := &peerpb.PermitRequest{
-		Backend: s.Key(), FailureDomain: s.FailureDomain(), PerSecond: limit.PerSecond,
-		LimitAgeMs: toMillis(age), MaxWaitMs: uint32(max(0, maxWait.Milliseconds())),
+		Backend: s.Key(), FailureDomain: s.FailureDomain(), PerSecond: q.Limit.PerSecond,
+		LimitAgeMs: toMillis(q.Age), MaxWaitMs: uint32(max(0, q.MaxWait.Milliseconds())),
+	}
+	if q.Limit.Warmup {
+		in.WarmupLeftMs, in.WasWarm = toMillis(q.WarmupLeft), q.Limit.WasWarm
 	}
 	out, err := &peerpb.PermitResponse{}, error(nil)
 	if isSelf {
--- a/pkg/routing/explain.go
+++ b/pkg/routing/explain.go
@@ -24,6 +24,8 @@
 	Limit            int32
 	AtLimit          uint64 // attempts refused because the limit was reached
 	RateLimit        RateLimit
+	WarmupLeft       time.Duration // how long the backend server is still cold
+	HasPermit        bool          // this instance holds a permit for the rate-limited backend server
 	Failed           uint64
 	ErrorShare       float64
 	Latency          time.Duration // of this instance's attempts
@@ -60,6 +62,7 @@
 	e.Picks, e.Failed, e.AtLimit = srv.Picks(), srv.Failed(), srv.AtLimit()
 	e.Weight, e.Inflight, e.Limit = srv.Weight(), srv.Inflight(), srv.Limit()
 	e.RateLimit, _ = srv.RateLimit(now)
+	e.WarmupLeft, e.HasPermit = srv.WarmupLeft(now), srv.IsRateLimited() && srv.HasPermit()
 	e.ErrorShare, e.Latency = srv.ErrorShare(), srv.Latency()
 	e.Report, e.ReportAge, e.HasReport = srv.Reported(now)
 	e.EstimatedLoad = lentilpin.Load(now, srv, s.stats, s.stats.ReportConfidence())
@@ -93,7 +96,11 @@
 	case e.Weight < 1:
 		add("weight %.2f: slow start", e.Weight)
 	}
-	if e.RateLimit.Stated {
+	switch {
+	case e.RateLimit.Warmup:
+		add("cold for another %s: gets %.1f requests per second from all instances together, by permits (this instance holds one: %t)",
+			e.WarmupLeft.Round(time.Millisecond), e.RateLimit.PerSecond, e.HasPermit)
+	case e.RateLimit.Stated:
 		add("states a rate limit: %.1f requests per second from all instances together", e.RateLimit.PerSecond)
 	}
 	if e.Inflight >= e.Limit {
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -51,6 +51,10 @@
 	occupancyCost = 0.6
 	// coldFactor is the slowdown assumed while a backend server is cold.
 	coldFactor = 2
+	// limitedColdFactor applies instead where permits limit the requests to a cold backend
+	// server. It ranks after a warm one of the same failure domain, and before those of
+	// other failure domains.
+	limitedColdFactor = 1.25
 	// unresponsivePenalty is the cost added for a backend server that did not reply
 	// to a recent load query. It ranks such backend servers after all others.
 	unresponsivePenalty = 50
@@ -257,7 +261,10 @@
 		mean := max(idleCost, p.stats.MeanSlowdown())
 		factor = reportWeight*report.Slowdown + (1-reportWeight)*mean
 	}
-	if s.IsCold(now) {
+	switch {
+	case s.IsWarmupLimited():
+		factor = max(factor, limitedColdFactor)
+	case s.IsCold(now):
 		factor = max(factor, coldFactor)
 	}
 	return factor
--- a/pkg/routing/fresh/fresh_test.go
+++ b/pkg/routing/fresh/fresh_test.go
@@ -75,6 +75,8 @@
 			f.servers[0].EndQuery(now, false)
 		}, 1},
 		{"prefers a warm one to a cold one", 2, 0, func(f *fixture) { f.report(0, 1, 0, 0); f.report(1, 1, 2, 0); f.servers[0].SetCold(now, time.Second) }, 1},
+		{"prefers a warm one to a cold one with a permit", 2, 0, func(f *fixture) { f.report(0, 1, 0, 0); f.report(1, 1, 0, 0); f.permitCold(0) }, 1},
+		{"prefers a cold one with a permit to another failure domain", 1, 1, func(f *fixture) { f.report(0, 1, 0, 0); f.report(1, 1, 0, 0); f.permitCold(0) }, 0},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
 			f := newFixture(tt.local, tt.remote)
@@ -87,6 +89,13 @@
 	}
 }
 
+// permitCold makes a backend server cold, with a permit.
+func (f *fixture) permitCold(i int) {
+	f.servers[i].LimitWarmup(now, 6.3, 0)
+	f.servers[i].SetWarmupLeft(now, time.Second)
+	f.servers[i].GrantPermit(now + time.Second)
+}
+
 // Guards against hedges that make an overload worse, and against hedges that take
 // longer than the first attempt.
 func TestHasSpareCapacity(t *testing.T) {
--- a/pkg/routing/permits.go
+++ b/pkg/routing/permits.go
@@ -7,7 +7,7 @@
 // RateLimited returns the backend servers that state a rate limit.
 func (s *Set) RateLimited() (out []*Server) {
 	for _, srv := range s.Servers() {
-		if srv.IsRateLimited() {
+		if srv.StatesRateLimit() {
 			out = append(out, srv)
 		}
 	}
--- a/pkg/routing/server/load_query.go
+++ b/pkg/routing/server/load_query.go
@@ -52,10 +52,3 @@
 // BegunSinceReport returns the number of attempts that this instance has begun
 // since the last report, which does not include them.
 func (s *Server) BegunSinceReport() int32 { return s.begunSinceReport.Load() }
-
-// SetCold records that the backend server is slow for the time left because it has
-// just started.
-func (s *Server) SetCold(now, left time.Duration) { s.coldUntil.Store(int64(now + left)) }
-
-// IsCold reports whether the backend server is slow because it has just started.
-func (s *Server) IsCold(now time.Duration) bool { return now < time.Duration(s.coldUntil.Load()) }
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -79,14 +79,15 @@
 	reportedInflight atomic.Int32
 	reportedQueued   atomic.Int32
 	reportedSlots    atomic.Int32
-	reportedLatency  atomic.Int64                    // nanoseconds
-	reportedSlowdown atomic.Uint64                   // float64 bits
-	reportAt         atomic.Int64                    // time of the report plus one nanosecond; 0: no report
-	begunSinceReport atomic.Int32                    // attempts begun since the report
-	downUntil        atomic.Int64                    // time until which the backend server counts as unresponsive
-	coldUntil        atomic.Int64                    // time until which the backend server counts as cold
+	reportedLatency  atomic.Int64  // nanoseconds
+	reportedSlowdown atomic.Uint64 // float64 bits
+	reportAt         atomic.Int64  // time of the report plus one nanosecond; 0: no report
+	begunSinceReport atomic.Int32  // attempts begun since the report
+	downUntil        atomic.Int64  // time until which the backend server counts as unresponsive
+	warmup           warmup
 	rateLimit        atomic.Pointer[statedRateLimit] // nil: not stated
 	hasPermit        atomic.Bool                     // one attempt is permitted although the backend server is rate-limited
+	permitUntil      atomic.Int64                    // time until which the permit can be used
 	backoffUntil     atomic.Int64                    // time until which the backend server wants no requests
 	isBackingOff     atomic.Bool                     // until EndBackoff after backoffUntil
 	loadQuery        loadQuery
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -66,6 +66,8 @@
 	settings    atomic.Pointer[activeSettings]
 	pickCount   atomic.Uint64 // calls of Pick, counted only under a ProbeListener
 
+	warmup atomic.Pointer[warmupLimit] // see LimitWarmups
+
 	mu           sync.Mutex // serializes Update and Configure
 	serversByKey atomic.Pointer[map[string]*Server]
 }
@@ -89,6 +91,7 @@
 		s.randSources[i].rand = rand.New(rand.NewPCG(o.Seed, uint64(i)))
 	}
 	s.list.Store(server.NewList(nil, 0))
+	s.warmup.Store(&warmupLimit{})
 	s.serversByKey.Store(&map[string]*Server{})
 	if err := s.Configure(o.Settings); err != nil {
 		return nil, err
@@ -104,6 +107,7 @@
 	defer s.mu.Unlock()
 	old, known := *s.serversByKey.Load(), map[string]*Server{}
 	limit := int32(s.settings.Load().settings.ConnectionsPerInstance())
+	warmup := s.warmup.Load()
 	servers := make([]*Server, 0, len(list))
 	for _, b := range list {
 		key := b.Key()
@@ -114,6 +118,7 @@
 		if srv == nil || srv.FailureDomain() != b.FailureDomain {
 			srv = server.New(b, b.FailureDomain == s.options.FailureDomain, s.stats, limit)
 			srv.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
+			srv.LimitWarmup(now, warmup.perSecond, warmup.longest)
 		}
 		if b.WarmupRemaining > 0 {
 			srv.SetCold(now, b.WarmupRemaining)
@@ -157,19 +162,22 @@
 		if srv == nil {
 			return nil
 		}
-		if s.begin(srv) {
+		if s.begin(now, srv) {
 			return srv
 		}
 	}
-	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && s.begin(srv) {
+	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && s.begin(now, srv) {
 		return srv
 	}
 	return nil
 }
 
 // begin begins an attempt and reports the use of a permit.
-func (s *Set) begin(srv *Server) bool {
+func (s *Set) begin(now time.Duration, srv *Server) bool {
 	isRateLimited := srv.IsRateLimited()
+	if isRateLimited && srv.HasExpiredPermit(now) {
+		srv.RevokePermit()
+	}
 	if !srv.BeginAttempt() {
 		return false
 	}
@@ -181,14 +189,14 @@
 
 // HasSpareCapacity reports whether the backend server that the policy would select
 // has spare capacity for an optional attempt, such as a hedge. It returns false if
-// the policy would select none, and true if one is selected and the policy does not
-// implement server.SpareCapacityChecker.
+// the policy would select none or a cold one, whose permits are for other requests, and
+// true if one is selected and the policy does not implement server.SpareCapacityChecker.
 func (s *Set) HasSpareCapacity(now time.Duration, exclude []*Server) bool {
 	src := s.lockRandSource()
 	defer src.mu.Unlock()
 	st := s.settings.Load()
 	srv := st.policy.Choose(now, s.list.Load(), src.rand, exclude)
-	if srv == nil {
+	if srv == nil || srv.IsWarmupLimited() {
 		return false
 	}
 	return st.capacityChecker == nil || st.capacityChecker.HasSpareCapacity(now, srv)
--- a/pkg/transport/header.go
+++ b/pkg/transport/header.go
@@ -41,6 +41,7 @@
 	loadReport, state, shed, timeout string
 	exchange, expectInstance         string
 	instance, signature, rateLimit   string
+	warmup                           string
 	internalExchange                 bool // the exchange field has its default name, which callers do not use
 }
 
@@ -57,6 +58,7 @@
 		instance:         textproto.CanonicalMIMEHeaderKey(h.Instance),
 		signature:        textproto.CanonicalMIMEHeaderKey(h.Signature),
 		rateLimit:        textproto.CanonicalMIMEHeaderKey(h.RateLimit),
+		warmup:           textproto.CanonicalMIMEHeaderKey(h.Warmup),
 		internalExchange: h.Exchange == ExchangeHeader,
 	}
 }
@@ -78,6 +80,7 @@
 		s.Draining = strings.EqualFold(strings.TrimSpace(v[0]), n.settings.Headers.DrainingValue)
 	}
 	s.RateLimit = n.parseRateLimit(h)
+	s.WarmupLeft, s.HasWarmupLeft = n.parseWarmupLeft(h)
 	if status == http.StatusServiceUnavailable {
 		s.RetryAfter = parseRetryAfter(h)
 	}
--- a/pkg/transport/transport.go
+++ b/pkg/transport/transport.go
@@ -62,6 +62,10 @@
 	// 503, wants no further ones from this instance; 0: not stated.
 	RetryAfter time.Duration
 	Shed       bool // the backend server stated that the request did not run
+	// WarmupLeft is how long the backend server stays cold, 0 if it is warm. It is set
+	// only if HasWarmupLeft is.
+	WarmupLeft    time.Duration
+	HasWarmupLeft bool
 	// Misdirected is set if the address now belongs to another backend server;
 	// it implies Shed.
 	Misdirected bool
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -22,6 +22,9 @@
 	TokenHeader = "X-Token"
 	// RateLimitHeader is the response header field that states the rate limit.
 	RateLimitHeader = "Backend-Rate-Limit"
+	// WarmupHeader is the header field of responses to internal requests that states for
+	// how many milliseconds the backend server stays cold. A warm one omits it.
+	WarmupHeader = "Backend-Warmup"
 	// SlowDelay is the delay before a request with the fault Slow runs.
 	SlowDelay = 400 * time.Millisecond
 	// longBodyBytes is added to the response body by the fault LongBody. It is
@@ -54,16 +57,17 @@
 // Backend is a stand-in for a backend server that serves one end of an in-memory
 // pipe for each connection. It is safe for concurrent use.
 type Backend struct {
-	mu       sync.Mutex
-	script   []Fault
-	runs     map[string]int // number of runs by token
-	requests []*http.Request
-	arrivals []time.Time // of requests
-	limit    string      // value of RateLimitHeader; empty: not stated
-	refusal  string      // value of Retry-After with which all requests are refused; empty: they are not
-	conns    []net.Conn
-	callers  []int // of conns, as passed to DialFrom
-	onFault  func()
+	mu        sync.Mutex
+	script    []Fault
+	runs      map[string]int // number of runs by token
+	requests  []*http.Request
+	arrivals  []time.Time // of requests
+	limit     string      // value of RateLimitHeader; empty: not stated
+	coldUntil time.Time
+	refusal   string // value of Retry-After with which all requests are refused; empty: they are not
+	conns     []net.Conn
+	callers   []int // of conns, as passed to DialFrom
+	onFault   func()
 }
 
 // New returns a backend server without faults.
@@ -112,6 +116,13 @@
 	b.limit = limit
 }
 
+// TurnCold makes the backend server state that it is cold for some time.
+func (b *Backend) TurnCold(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.coldUntil = time.Now().Add(d)
+}
+
 // SetRefusal makes the backend server refuse all requests with 503 and a Retry-After of
 // the given seconds; empty: it serves them.
 func (b *Backend) SetRefusal(retryAfter string) {
@@ -121,14 +132,17 @@
 }
 
 // signals returns the header lines with the load report and, if one is stated, the
-// rate limit.
-func (b *Backend) signals() string {
+// rate limit; responses to internal requests also the remaining warm-up.
+func (b *Backend) signals(internal bool) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	lines := "endpoint-load-metrics: TEXT named_metrics.inflight=0,named_metrics.slots=6\r\n"
 	if b.limit != "" {
 		lines += RateLimitHeader + ": " + b.limit + "\r\n"
 	}
+	if left := time.Until(b.coldUntil); internal && left > 0 {
+		lines += fmt.Sprintf("%s: %d\r\n", WarmupHeader, left.Milliseconds())
+	}
 	return lines
 }
 
@@ -230,7 +244,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 503 x\r\nBackend-Shed: not-run\r\nRetry-After: %s\r\nContent-Length: 0\r\n\r\n", refusal)
 			continue
 		}
-		if !b.respond(c, f, req.Header.Get(TokenHeader)) {
+		if !b.respond(c, f, req.Header.Get(TokenHeader), isInternal(req)) {
 			return
 		}
 	}
@@ -238,7 +252,7 @@
 
 // respond runs the request and responds to it as the fault says. It returns
 // false if the connection is to be closed.
-func (b *Backend) respond(c net.Conn, f Fault, token string) bool {
+func (b *Backend) respond(c net.Conn, f Fault, token string, internal bool) bool {
 	body := "for " + token
 	if f == LongBody {
 		body += strings.Repeat(".", longBodyBytes)
@@ -270,7 +284,7 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
 		return false
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%sContent-Length: %d\r\n\r\n%s", b.signals(), len(body), body)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 x\r\n%sContent-Length: %d\r\n\r\n%s", b.signals(internal), len(body), body)
 	if f == LateBytes {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 x\r\nContent-Length: 5\r\n\r\nother")
 		return false
