Cold backend servers: pages for operators and contributors, cost

Operators need to know why a backend server gets few requests after its start, and who bears the cost of the permits.

--- a/pkg/ratelimit/doc.go
+++ b/pkg/ratelimit/doc.go
@@ -35,6 +35,13 @@
 // while its permit is held. A permit that is not used soon expires, and the instance
 // then asks less often, so that the limit goes to the instances that need it.
 //
+// A backend server that is cold is metered in the same way if its service states how many
+// requests it tolerates (routing.RateLimit.Warmup). Its bound applies to one second, so
+// that the burst is smaller (warmup.go), reservations reach less far ahead, and an
+// instance reserves as many permits as it uses (demand.go). If it was in use before, the
+// issuer waits until all instances know that it is cold. The load that this answers: a
+// failure domain returns cold, and all instances find it idle at the same moment.
+//
 // Every instance learns of a limit, its change and its end from responses and from
 // replies to load queries and health checks. With a policy that queries loads it
 // knows a limit before it sends its first request; with another one it learns of it
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -18,7 +18,8 @@
 // a rank that differs between instances, determines which backend servers of a large
 // service an instance prefers.
 //
-// A backend server that states a rate limit is usable only while this instance holds
+// A backend server that states a rate limit, or is cold where Set.LimitWarmups limits the
+// requests to cold ones, is usable only while this instance holds
 // a permit for it (Server.GrantPermit), which the next attempt uses. Package
 // ratelimit obtains the permits.
 //
