Permits of cold backend servers: forget an old demand

An instance that needed few permits when a part of the backend servers was cold reserved as few when all of them were later. The demand counts as unknown after 5 s without a permit. TestDemandFollowsUse fails without that; the counts of TestColdBackendServersStayWithinTheLimit stay the same.

--- a/pkg/ratelimit/holder.go
+++ b/pkg/ratelimit/holder.go
@@ -128,7 +128,7 @@
 	if p := h.holds[s]; p != nil && p.state == usable {
 		p.unused = 0
 		if p.warmup {
-			h.demand.used()
+			h.demand.ended(h.options.Now(), true)
 		}
 		h.request(s, p)
 		h.options.Ended(false)
@@ -197,7 +197,7 @@
 	if limit.Warmup {
 		q.WarmupLeft = s.WarmupLeft(now)
 		q.MaxWait = min(maxWarmupWait, q.WarmupLeft)
-		if q.WarmupLeft <= 0 || !h.demand.allows(h.warmupPermits()) {
+		if q.WarmupLeft <= 0 || !h.demand.allows(now, h.warmupPermits()) {
 			return q, false
 		}
 	}
@@ -245,7 +245,7 @@
 	longest := maxUnusedBackoff
 	if p.warmup {
 		longest = maxWarmupBackoff
-		h.demand.unused()
+		h.demand.ended(now, false)
 	}
 	backoff := min(longest, minUnusedBackoff<<min(p.unused, 8))
 	p.unused++
