--- /dev/null
+++ b/pkg/gateway/invalid_status_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/standin/pipe"
+)
+
+// Guards against a request that is reported as not run, or refused with a status that
+// guarantees it, although a backend server has run it: its response had no valid status,
+// and no further attempt ran.
+func TestRunAfterInvalidResponse(t *testing.T) {
+	for _, tt := range []struct {
+		desc   string
+		faults []pipe.Fault // of the backend servers in the order of the attempts
+	}{
+		{"only attempt", []pipe.Fault{pipe.InvalidStatus}},
+		{"interim response first", []pipe.Fault{pipe.InvalidAfterInterim}},
+		{"the second backend server refuses", []pipe.Fault{pipe.InvalidStatus, pipe.Shed}},
+		{"the second connection is refused", []pipe.Fault{pipe.InvalidStatus, pipe.RefuseConnection}},
+		{"a broken connection, then a refusal", []pipe.Fault{pipe.CloseAfterRun, pipe.Shed}},
+	} {
+		for _, isOrder := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, order %t", tt.desc, isOrder), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFixture(t, 1, len(tt.faults))
+					defer f.close()
+					remaining := tt.faults
+					var assign func()
+					assign = func() { // the next attempt at any backend server gets the next fault
+						if len(remaining) == 0 {
+							return
+						}
+						next := remaining[0]
+						remaining = remaining[1:]
+						for _, b := range f.backends {
+							b.SetScript(assign, next, next)
+						}
+					}
+					assign()
+					r := read("a")
+					if isOrder {
+						r = order("a", f.owners[0].Issue(time.Minute))
+					}
+					got := f.send(f.gateways[0], r)
+					require.Equal(t, 1, f.countRuns("a"))
+					require.Equal(t, http.StatusBadGateway, got.Code)
+					require.Equal(t, "unknown", got.Header().Get(runHeader))
+					require.Empty(t, got.Header().Get("Retry-After"))
+				})
+			})
+		}
+	}
+}
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -50,6 +50,8 @@
 	Silent                           // runs the request and never responds
 	LateBytes                        // runs the request, responds with 200, sends a second response and closes the connection
 	LongBody                         // runs the request and responds with a long body
+	InvalidStatus                    // runs the request and responds with status 000
+	InvalidAfterInterim              // runs the request and responds with an interim response and bytes that are no head
 	RefuseConnection                 // refuses a new connection; a request on an open connection is served
 	FaultCount
 )
@@ -280,6 +282,12 @@
 	case ServerError:
 		_, err := fmt.Fprintf(c, "HTTP/1.1 500 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 		return err == nil
+	case InvalidStatus:
+		_, err := io.WriteString(c, "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	case InvalidAfterInterim:
+		_, err := io.WriteString(c, "HTTP/1.1 103 x\r\n\r\nno head\r\n\r\n")
+		return err == nil
 	case Truncate:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
 		return false
