Responses without a valid status are none; run of a read after several attempts

A status outside 100 to 599, also with a sign for a digit, was skipped as an interim response or passed on, and a refused read whose first attempt may have run was reported as not run because only its last attempt counted. The transport now takes such a response for malformed, for probes, load queries, health checks and requests between entries as well; a refusal after an attempt that may have run says unknown, with 502 in place of 503.

TestGatewayUnderFaults compares the run of reads too, and fails with the old code of idempotent.go.

--- a/pkg/gateway/idempotent.go
+++ b/pkg/gateway/idempotent.go
@@ -39,6 +39,7 @@
 	pending      map[*routing.Server]pendingAttempt
 	attemptCount int
 	fallback     *attempt // latest error response, sent to the caller if no attempt succeeds
+	mayHaveRun   bool     // an attempt that has ended without a usable response may have run the request
 }
 
 // pendingAttempt is an attempt whose result has not arrived yet.
@@ -148,7 +149,7 @@
 	}
 	ic.waitForHealthChecks(ic.ctx)
 	if ic.svc.quarantine.CheckBlocked(ic.g.now(), ic.fingerprint) {
-		return ic.quarantinedResult(a), true
+		return ic.quarantinedResult(), true
 	}
 	if ic.takeRetry() {
 		ic.svc.retryCounter.Inc(1)
@@ -156,7 +157,11 @@
 			return result{}, false
 		}
 	}
-	return ic.concludeWith(notRunResult(http.StatusBadGateway, reasonAttemptsFailed, "no attempt got a response").withRunOf(a))
+	res := notRunResult(http.StatusBadGateway, reasonAttemptsFailed, "no attempt got a response")
+	if !a.isNotRun() {
+		res = ic.withRunOfAttempts(res) // not for a peer: it may be the request that broke the attempt
+	}
+	return ic.concludeWith(res)
 }
 
 // concludeWith ends the request, unless attempts are pending: with the held error
@@ -170,7 +175,7 @@
 		ic.fallback = nil
 		return ic.sendResponse(kept), true
 	}
-	return ic.lastResort(ic.ctx, res), true
+	return ic.withRunOfAttempts(ic.lastResort(ic.ctx, res)), true
 }
 
 // replaceWithdrawn starts an attempt in place of one that was not sent. This is no
@@ -183,13 +188,22 @@
 	return result{}, false
 }
 
-// withRunOf returns a copy of r whose run is unknown if the last attempt may
-// have run. An idempotent request can safely be sent again in either case.
-func (r result) withRunOf(a *attempt) result {
-	if !a.isNotRun() {
-		r.outcome, r.run = audit.OutcomeUnknown, audit.Unknown
+// withRunOfAttempts returns a refusal whose run is unknown if an attempt may have run. Its
+// status is then none of those that guarantee callers that the request has not run. An
+// idempotent request can safely be sent again in either case.
+func (ic *idempotentCall) withRunOfAttempts(res result) result {
+	if res.run != audit.NotRun || !ic.mayHaveRun && len(ic.pending) == 0 {
+		return res
+	}
+	res.outcome, res.run = audit.OutcomeUnknown, audit.Unknown
+	res.sendRetryAfter, res.retryAfter = false, 0
+	if res.status == http.StatusServiceUnavailable {
+		res.status = http.StatusBadGateway
+	}
+	if res.reason != reasonQuarantined && res.reason != reasonDeadline {
+		res.reason = reasonAttemptsFailed // the other reasons say that the request has not run
 	}
-	return r
+	return res
 }
 
 // holdErrorResponse keeps an error response while a retry is possible. Only the
@@ -208,6 +222,7 @@
 	if !a.isWithdrawn() {
 		ic.svc.hedgeDelay.Record(a.latency)
 	}
+	ic.mayHaveRun = ic.mayHaveRun || !a.isNotRun()
 	ic.endAttempt(a, o)
 }
 
@@ -250,8 +265,8 @@
 	})
 }
 
-func (ic *idempotentCall) quarantinedResult(a *attempt) result {
-	return notRunResult(http.StatusServiceUnavailable, reasonQuarantined, "the request crashed backend servers").withRunOf(a)
+func (ic *idempotentCall) quarantinedResult() result {
+	return ic.withRunOfAttempts(notRunResult(http.StatusServiceUnavailable, reasonQuarantined, "the request crashed backend servers"))
 }
 
 func (ic *idempotentCall) deadlineResult() result {
--- a/pkg/gateway/invalid_status_test.go
+++ b/pkg/gateway/invalid_status_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -58,3 +60,32 @@
 		}
 	}
 }
+
+// Guards against an order that is run again, or reported as not run, because the peer to
+// which it was handed sends a response without a valid status.
+func TestRunAfterInvalidResponseOfPeer(t *testing.T) {
+	for _, status := range []string{"000", "999", "103 x\r\n\r\nno"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 2, 4)
+			defer f.close()
+			peer := pipe.NewListener()
+			defer func() { require.NoError(t, peer.Close()) }()
+			received := 0
+			f.peerListeners[1] = peer
+			f.loops.Go(func() {
+				for c, err := peer.Accept(); err == nil; c, err = peer.Accept() {
+					if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+						received++
+						_, _ = io.Copy(io.Discard, r.Body)
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 %s x\r\nContent-Length: 0\r\n\r\n", status)
+					}
+				}
+			})
+			f.cutFromBackends(0, cut{})
+			got := f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
+			require.Equal(t, http.StatusBadGateway, got.Code, status)
+			require.Equal(t, "unknown", got.Header().Get(runHeader))
+			require.Equal(t, 1, received)
+		})
+	}
+}
--- a/pkg/gateway/state_machine_test.go
+++ b/pkg/gateway/state_machine_test.go
@@ -155,12 +155,14 @@
 		require.True(t, strings.HasPrefix(r.Body.String(), "for "+s.token), "%s got %q", s.token, r.Body.String())
 		require.Equal(t, r.Header().Get("Content-Length"), fmt.Sprint(r.Body.Len()), "%s got a body of another length than stated", s.token)
 	}
+	if run == "not_run" && !r.broken {
+		require.Zero(t, m.f.countRuns(s.token), "%s was reported as not run", s.token)
+	}
 	if s.key == "" || r.broken {
 		return
 	}
 	switch run {
 	case "not_run":
-		require.Zero(t, m.f.countRuns(s.token), "%s was reported as not run", s.token)
 	case "ran":
 		require.Equal(t, 1, m.f.countRuns(s.token), "%s was reported as run", s.token)
 	default:
--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -32,6 +32,10 @@
 //
 // # Responses
 //
+// A status outside 100 to 599 is not a response: the exchange fails, its connection is
+// closed, and whether the request ran is unknown. An interim response is skipped only if
+// a further head follows.
+//
 // A response must state its length (Content-Length, chunked coding, or a status
 // without a body). A response body delimited by the end of the connection is
 // rejected, because truncation cannot be detected, unless responses.unframed
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -262,6 +262,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := validateStatus(head); err != nil {
+			return nil, err
+		}
 		if head.StatusCode >= http.StatusOK {
 			return head, nil
 		}
