Permits of cold backend servers: reservations end with their issuer

A new issuer knows nothing of the permits that its predecessor has promised, so that both together exceeded the rate for a second. A reserved permit is now dropped if the table of instances names another issuer when it becomes usable.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -62,7 +62,8 @@
 	unreachableOwners map[string]bool // addresses of owners that no peer can reach
 	notReady          []atomic.Bool   // per gateway: Options.Ready returns false
 	mu                sync.Mutex
-	cuts              map[int]cut // by the index of the gateway
+	cuts              map[int]cut  // by the index of the gateway
+	issuerShift       atomic.Int64 // moves the permits of each backend server to another gateway
 	dialDelay         time.Duration
 	dialed            []string // addresses in the order of the dials
 	stop              context.CancelFunc
@@ -256,7 +257,7 @@
 }
 
 func (d fixtureDirectory) Responsible(key, _ string) (address string, isSelf bool) {
-	i := int(xxhash.Sum64String(key) % uint64(d.gateways))
+	i := int((xxhash.Sum64String(key) + uint64(d.f.issuerShift.Load())) % uint64(d.gateways))
 	return fmt.Sprintf("127.0.0.1:%d", firstOwnerPort+i), i == d.self
 }
 
--- a/pkg/gateway/warmup_test.go
+++ b/pkg/gateway/warmup_test.go
@@ -29,17 +29,21 @@
 }
 
 // list gives all gateways an instance list that states the remaining warm-up of the
-// backend servers with the given addresses, and omits others.
-func (f *fixture) list(cold []string, left time.Duration, absent ...string) {
+// backend servers with the addresses in cold, and omits them if it is 0. The others are in
+// the given failure domain.
+func (f *fixture) list(cold []string, left time.Duration, others string) {
 	var list []platform.Instance
 	for i := range f.backends {
 		instance := platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: i, State: platform.StateLive}
-		if slices.Contains(cold, i) {
+		switch isCold := slices.Contains(cold, i); {
+		case isCold && left == 0:
+			continue
+		case isCold:
 			instance.WarmupRemaining = left
+		default:
+			instance.FailureDomain = others
 		}
-		if !slices.Contains(absent, i) {
-			list = append(list, instance)
-		}
+		list = append(list, instance)
 	}
 	for _, g := range f.gateways {
 		g.UpdateInstances(list)
@@ -55,6 +59,8 @@
 	served          bool // all requests are served: the warm ones have room
 	full            bool // the demand is above the limits of all
 	issuersDie      bool
+	newIssuers      bool   // other instances issue the permits from a second after the start
+	others          string // failure domain of the others; empty: the own one
 }
 
 // requireWarmupLimitHolds checks that no cold backend server gets more than
@@ -68,7 +74,11 @@
 			cold = append(cold, fmt.Sprintf("127.0.0.1:%d", 9000+i))
 		}
 		if !tt.unnoticed {
-			f.list(nil, 0, cold...)
+			f.list(cold, 0, tt.others)
+		}
+		if tt.newIssuers {
+			change := time.AfterFunc(5*time.Second, func() { f.issuerShift.Store(1) })
+			defer change.Stop()
 		}
 		f.sendSteadily(tt.interval, 4*time.Second)
 		since := time.Now()
@@ -81,10 +91,10 @@
 			}
 		}
 		if tt.unnoticed {
-			announcement := time.AfterFunc(time.Second, func() { f.list(cold, warmupSpan-time.Second) })
+			announcement := time.AfterFunc(time.Second, func() { f.list(cold, warmupSpan-time.Second, tt.others) })
 			defer announcement.Stop()
 		} else {
-			f.list(cold, warmupSpan)
+			f.list(cold, warmupSpan, tt.others)
 		}
 		statuses := f.sendSteadily(tt.interval, warmupSpan)
 		total := 0
@@ -104,6 +114,10 @@
 		if tt.full {
 			require.GreaterOrEqual(t, float64(total), 0.75*warmupPerSecond*warmupSpan.Seconds()*float64(tt.cold))
 		}
+		if tt.newIssuers {
+			// The permits of one issuer, and those that were usable when the issuer changed.
+			require.LessOrEqual(t, float64(total), float64(tt.cold)*(1+warmupPerSecond*(warmupSpan+700*time.Millisecond).Seconds()))
+		}
 		f.sendSteadily(tt.interval, time.Second)
 		require.Equal(t, map[int]int{http.StatusOK: int(time.Second/tt.interval) * tt.instances}, f.sendSteadily(tt.interval, time.Second), "warm again")
 	})
@@ -119,7 +133,10 @@
 		{desc: "all are cold", instances: 20, cold: 6, interval: 100 * time.Millisecond, full: true},
 		{desc: "all are cold, many instances", instances: 60, cold: 6, interval: 250 * time.Millisecond, full: true},
 		{desc: "in use without notice", instances: 40, cold: 3, interval: 200 * time.Millisecond, unnoticed: true, served: true},
-		{desc: "half of the issuers die", instances: 40, cold: 3, interval: 200 * time.Millisecond, issuersDie: true, served: true},
+		{desc: "the own failure domain returns cold", instances: 40, cold: 3, interval: 200 * time.Millisecond, others: "b", served: true, full: true},
+		{desc: "half of the issuers die", instances: 40, cold: 3, interval: 200 * time.Millisecond, others: "b", issuersDie: true, served: true},
+		{desc: "other issuers take over", instances: 40, cold: 3, interval: 200 * time.Millisecond, others: "b", newIssuers: true, served: true, full: true},
+		{desc: "other issuers take over, all are cold", instances: 40, cold: 6, interval: 200 * time.Millisecond, newIssuers: true, full: true},
 	} {
 		t.Run(tt.desc, func(t *testing.T) { requireWarmupLimitHolds(t, queryingTreeText, tt) })
 		if !tt.unnoticed {
--- a/pkg/ratelimit/holder.go
+++ b/pkg/ratelimit/holder.go
@@ -37,6 +37,8 @@
 	// Take obtains a permit. If granted, it becomes usable after wait, which is at most
 	// q.MaxWait; otherwise no permit is expected before wait.
 	Take(ctx context.Context, q Query) (wait time.Duration, granted bool)
+	// Issuer returns the address of the instance that issues the permits of s now.
+	Issuer(s *routing.Server) string
 }
 
 // HolderOptions are the dependencies of a Holder.
@@ -73,9 +75,10 @@
 type hold struct {
 	state  holdState
 	until  time.Duration
-	unused int  // number of permits in sequence that expired without use
-	denied int  // number of denials in sequence
-	warmup bool // of a cold backend server
+	unused int    // number of permits in sequence that expired without use
+	denied int    // number of denials in sequence
+	warmup bool   // of a cold backend server
+	issuer string // with warmup: address of the instance that was asked
 }
 
 // NewHolder returns a Holder without permits.
@@ -170,6 +173,9 @@
 		return
 	}
 	p.state, p.warmup = asking, q.Limit.Warmup
+	if p.warmup {
+		p.issuer = h.options.Source.Issuer(s)
+	}
 	h.options.Go(func() {
 		wait, granted := h.options.Source.Take(context.Background(), q)
 		h.mu.Lock()
@@ -226,6 +232,10 @@
 		p.state = paused
 		return
 	}
+	if p.warmup && h.options.Source.Issuer(s) != p.issuer {
+		p.state = paused // the next issuer does not know of this permit
+		return
+	}
 	p.state, p.until = usable, until
 	s.GrantPermit(until)
 	time.AfterFunc(until-now, func() { h.expire(s, p) })
--- a/pkg/ratelimit/holder_test.go
+++ b/pkg/ratelimit/holder_test.go
@@ -29,6 +29,8 @@
 	return s.wait, !s.denied
 }
 
+func (s *source) Issuer(*routing.Server) string { return "issuer" }
+
 // holderTest is a holder with one rate-limited backend server.
 type holderTest struct {
 	*ratelimit.Holder
--- a/pkg/ratelimit/permits.go
+++ b/pkg/ratelimit/permits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lentilpin/pkg/peer/peerpb"
+	"lentilpin/pkg/routing"
 )
 
 // unreachableBackoff is how long an instance does not ask again for the permits of
@@ -29,6 +30,12 @@
 	return &Permits{directory: directory, issuer: issuer, peers: peers}
 }
 
+// Issuer implements Source.
+func (p *Permits) Issuer(s *routing.Server) string {
+	address, _ := p.directory.Responsible(s.Key(), s.FailureDomain())
+	return address
+}
+
 // Take implements Source.
 func (p *Permits) Take(ctx context.Context, q Query) (wait time.Duration, granted bool) {
 	s := q.Server
--- a/standin/signed/signed.go
+++ b/standin/signed/signed.go
@@ -28,6 +28,7 @@
 	override func(w http.ResponseWriter, r *http.Request) bool
 	load     string
 	limit    string // value of Server-Limit; empty: not stated
+	warmup   string // value of Warmup-Ms in responses to /health; empty: not stated
 	leaving  bool   // whether all responses say that the backend server leaves
 }
 
@@ -77,6 +78,13 @@
 	b.limit = limit
 }
 
+// SetWarmup sets the value of Warmup-Ms in responses to /health; empty: not stated.
+func (b *Backend) SetWarmup(warmup string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.warmup = warmup
+}
+
 // SetLeaving sets whether all responses say that the backend server leaves.
 func (b *Backend) SetLeaving(leaving bool) {
 	b.mu.Lock()
@@ -122,7 +130,11 @@
 	if r.URL.Path == "/health" {
 		b.mu.Lock()
 		b.probes++
+		warmup := b.warmup
 		b.mu.Unlock()
+		if warmup != "" {
+			w.Header().Set("Warmup-Ms", warmup)
+		}
 		w.Header().Set("Instance-Id", b.ID)
 		return
 	}
