--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -33,8 +33,8 @@
 
 // mayStart reports whether the request may be sent to a backend server now. It may have
 // waited in the queue and for a connection since it was admitted.
-func (c *call) mayStart(server *routing.Server) bool {
-	return c.svc.mayStart(server) && !c.svc.quarantine.IsInForce(c.g.now(), c.fingerprint)
+func (c *call) mayStart(server *routing.Server, assignedAt time.Duration) bool {
+	return c.svc.mayStart(server, assignedAt) && !c.svc.quarantine.IsInForce(c.g.now(), c.fingerprint)
 }
 
 // startCrashCheck checks in the background whether a backend server that broke a
