Feed: learn of evacuated failure domains within their bound

Cause: keys under op/evacuate/ were ignored, so that an operator could not evacuate a failure domain. Change: a new kind of key; feed keeps the evacuations with their revisions, publishes them with the instance list, reads them apart while a poll is held up, and relays pass them on ahead of their log. An entry reads them before its first list.

--- a/pkg/entry/changes.go
+++ b/pkg/entry/changes.go
@@ -21,7 +21,7 @@
 func (c changesClient) Changes(ctx context.Context, address string, request feed.PeerRequest) (feed.PeerReply, error) {
 	resp, err := c.e.peerClient.Changes(ctx, address, &peerpb.ChangesRequest{
 		After: request.After.Revision, Era: request.After.Era, UnknownTree: request.UnknownTree, WaitMs: uint32(request.Wait.Milliseconds()),
-		AcceptsCompressed: true,
+		AcceptsCompressed: true, UnknownEvacuation: request.UnknownEvacuation,
 	})
 	if err != nil {
 		return feed.PeerReply{}, err
@@ -58,7 +58,8 @@
 		return &peerpb.ChangesResponse{State: peerpb.ChangesState_CHANGES_STATE_NOT_READER}, nil
 	}
 	request := feed.PeerRequest{
-		After: feed.Position{Era: req.Era, Revision: req.After}, UnknownTree: req.UnknownTree, Wait: time.Duration(req.WaitMs) * time.Millisecond,
+		After: feed.Position{Era: req.Era, Revision: req.After}, UnknownTree: req.UnknownTree,
+		UnknownEvacuation: req.UnknownEvacuation, Wait: time.Duration(req.WaitMs) * time.Millisecond,
 	}
 	if request.After == (feed.Position{}) && req.AcceptsCompressed {
 		return s.e.fullState.response(time.Now(), func() (*peerpb.ChangesResponse, error) { return s.changes(ctx, request) })
--- a/pkg/feed/calls.go
+++ b/pkg/feed/calls.go
@@ -20,10 +20,11 @@
 	CallPing                           // a reader checks whether the store answers
 	CallTree                           // a settings tree did not arrive through the exchange
 	CallConfirmation                   // the settings version is confirmed
+	CallEvacuations                    // a poll is held up, or the first page lacks the evacuations
 	callReasons
 )
 
-var callReasonNames = [callReasons]string{"start", "reload", "poll", "fallback", "ping", "tree", "confirmation"}
+var callReasonNames = [callReasons]string{"start", "reload", "poll", "fallback", "ping", "tree", "confirmation", "evacuations"}
 
 // String implements fmt.Stringer.
 func (c CallReason) String() string { return callReasonNames[c] }
--- a/pkg/feed/events.go
+++ b/pkg/feed/events.go
@@ -19,5 +19,7 @@
 	eventTreeReadFailed        = events.New(2118, logrus.WarnLevel, "announced_tree_read_failed", "a settings tree that a relay has announced could not be read from the store; the read is repeated unless a peer delivers the tree")
 	eventStoreRestored         = events.NewChange(2119, logrus.WarnLevel, "store_restored", "the platform's store was restored from an older copy; the full state is read again, settings in force are kept")
 	eventCalls                 = events.New(2121, logrus.InfoLevel, "store_calls", "number of calls to the platform's store since the start, by reason")
+	eventEvacuationHeld        = events.NewChange(2122, logrus.WarnLevel, "evacuation_held", "the platform's store was restored from an older copy that lacks an evacuation; it stays in force for some time, in which it must be written again if it is to last")
+	eventEvacuationsReadFailed = events.New(2123, logrus.WarnLevel, "evacuations_read_failed", "the evacuations could not be read while a reply of the store was late; evacuations in force are kept and the read is repeated")
 	eventRegistrationsWithheld = events.New(2120, logrus.InfoLevel, "registrations_withheld", "a restored store lists backend servers that have left since the copy; they are not used for some time")
 )
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -77,6 +77,9 @@
 	// RegistrationChanges is like Changes, but returns only changes of registrations: its
 	// reply is small whatever else has changed.
 	RegistrationChanges(ctx context.Context, after Position, wait time.Duration) ([]Change, Position, error)
+	// Evacuations returns the current keys of kind Evacuation that follow a key, in their
+	// order; "" for the first ones. Its reply is small whatever else the store holds.
+	Evacuations(ctx context.Context, after string) (Page, error)
 	// Ping checks with the cheapest call whether the store is reachable, and returns
 	// its era.
 	Ping(ctx context.Context) (era uint64, err error)
@@ -99,7 +102,11 @@
 	// while other changes are served. 0: not stated, as by builds up to b3111bb, to which
 	// the tree is a change like others.
 	UnknownTree uint64
-	Wait        time.Duration // for a change
+	// UnknownEvacuation is the lowest revision of an evacuation that the sender does not
+	// know. The peer may have learned of some ahead of its log. 0: not stated, as by older
+	// builds, which get the changes of the log only.
+	UnknownEvacuation uint64
+	Wait              time.Duration // for a change
 }
 
 // PeerReply is the reply to a PeerRequest.
@@ -125,6 +132,10 @@
 	Other Kind = iota
 	Tree
 	Registration
+	// Evacuation is a key whose presence says that a failure domain gets no requests. Its
+	// value has no meaning. In the order of keys, those of evacuations precede those of
+	// registrations.
+	Evacuation
 )
 
 // BackendRegistration is the content of a backend server's registration.
@@ -142,4 +153,6 @@
 	// Registration decodes a value of kind Registration; false means that it does
 	// not describe a backend server.
 	Registration(key string, value []byte) (BackendRegistration, bool)
+	// Evacuation returns the failure domain that a key of kind Evacuation names.
+	Evacuation(key string) (failureDomain string)
 }
--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -39,6 +39,7 @@
 	pageCalls       int           // of Page
 	changesCalls    int           // calls of Changes
 	treeCalls       int           // calls of Tree
+	evacuationCalls int           // calls of Evacuations
 	treeReads       int           // replies of any call but Page that hold a settings tree
 	pings           int           // reachability checks
 	unansweredPings int           // number of further pings that get no answer
@@ -174,6 +175,23 @@
 	}
 }
 
+// Evacuations returns all keys of evacuations on one page.
+func (s *fakeStore) Evacuations(context.Context, string) (Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuationCalls++
+	if s.unavailable {
+		return Page{}, errStoreUnavailable
+	}
+	p := Page{At: Position{s.era, s.revision}}
+	for _, key := range slices.Sorted(maps.Keys(s.state)) {
+		if (textStub{}).Kind(key) == Evacuation {
+			p.Changes = append(p.Changes, s.state[key])
+		}
+	}
+	return p, nil
+}
+
 func (s *fakeStore) Ping(ctx context.Context) (uint64, error) {
 	s.mu.Lock()
 	s.pings++
@@ -463,13 +481,17 @@
 	require.NoError(t, f.checkConverged())
 }
 
-// checkConverged returns an error unless every entry has the settings tree and the
-// backend servers that the store holds.
+// checkConverged returns an error unless every entry has the settings tree, the backend
+// servers and the evacuations that the store holds.
 func (f *fleet) checkConverged() error {
 	want := map[string]bool{}
 	for key := range f.store.state {
-		if (textStub{}).Kind(key) == Registration {
+		switch (textStub{}).Kind(key) {
+		case Registration:
 			want[key] = true
+		case Evacuation:
+			want[(textStub{}).Evacuation(key)] = true
+		default:
 		}
 	}
 	f.mu.Lock()
@@ -524,6 +546,16 @@
 	return s.fakeStore.Page(ctx, after, stale)
 }
 
+func (s entryStore) Evacuations(ctx context.Context, after string) (Page, error) {
+	if s.f.isDisconnected(s.entry) {
+		return Page{}, s.hang(ctx)
+	}
+	if s.refusesThird && s.entry%3 == 1 {
+		return Page{}, errStoreUnavailable
+	}
+	return s.fakeStore.Evacuations(ctx, after)
+}
+
 func (s entryStore) Ping(ctx context.Context) (uint64, error) {
 	if s.f.isDisconnected(s.entry) {
 		return 0, s.hang(ctx)
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -1,8 +1,10 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,15 +45,20 @@
 		return Position{}, err
 	}
 	now := time.Now()
-	dirty := r.backends.endHolds(now)
-	dirty = r.backends.apply(p.changes, now, r.storeFailedRecently(now)) || dirty
+	changes, ahead := r.separateAhead(p.changes, p.next)
+	dirty := r.evacuations.endHolds(now)
+	dirty = r.evacuations.apply(p.changes, now) || dirty
+	dirty = r.backends.endHolds(now) || dirty
+	dirty = r.backends.apply(changes, now, r.storeFailedRecently(now)) || dirty
 	if dirty {
 		r.publishInstances(now)
 	}
 	if !p.registrationsOnly {
 		r.completeAt, r.treesAt = now, p.treesAt
 	}
-	r.log.add(r.takeTree(p.changes), p.next, r.treesAt)
+	r.recordComplete(now)
+	r.log.add(r.takeTree(changes), p.next, r.treesAt)
+	r.log.addAhead(ahead, p.next.Era)
 	if size := valueBytes(p.changes); size >= largeUpdateBytes {
 		r.options.Recorder.Record(eventLargeUpdate, events.F("source", p.source), events.F("changes", len(p.changes)), events.F("bytes", size),
 			events.F("read_ms", now.Sub(start).Milliseconds()), events.F("apply_ms", time.Since(now).Milliseconds()))
@@ -80,7 +87,8 @@
 	changes []Change
 	next    Position // the position to continue from
 	treesAt Position // up to which the settings trees are known
-	// registrationsOnly says that the poll was for registrations; treesAt is not set.
+	// registrationsOnly says that the poll was for registrations and evacuations; treesAt is
+	// not set.
 	registrationsOnly bool
 }
 
@@ -146,7 +154,8 @@
 	return poll{source: sourceStore, changes: changes, next: next, treesAt: next}, nil
 }
 
-// pollRegistrations polls the store for changes of registrations. When a relay of a
+// pollRegistrations polls the store for changes of registrations, and reads the evacuations
+// after it. When a relay of a
 // large fleet is slow, all entries that follow it turn to the store at once, and a
 // settings tree in each reply would occupy their links.
 func (r *Reader) pollRegistrations(pollCtx context.Context, after Position, wait time.Duration) (poll, error) {
@@ -157,7 +166,14 @@
 		return poll{}, err
 	}
 	r.recordStoreAnswer()
-	return poll{source: sourceStore, changes: changes, next: latest(after, next), registrationsOnly: true}, nil
+	next = latest(after, next)
+	ofEvacuations, err := r.evacuationsTo(next)
+	if err = r.recordPollResult(pollCtx, err); err != nil {
+		return poll{}, err
+	}
+	changes = append(changes, ofEvacuations...)
+	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	return poll{source: sourceStore, changes: changes, next: next, registrationsOnly: true}, nil
 }
 
 // recordPollResult passes the result of a poll of the store to recordStoreResult and
@@ -189,10 +205,13 @@
 	}
 }
 
-// publishInstances publishes the current instance list.
+// publishInstances publishes the current instance list with the evacuations.
 func (r *Reader) publishInstances(now time.Time) {
-	backends := r.backends.instances(now)
-	r.publish(func() { r.instanceList = backends; r.listNumber++ })
+	registered := r.backends.instances(now)
+	r.publish(func() {
+		r.registered, r.instanceList = registered, r.evacuations.withRegistered(registered)
+		r.listNumber++
+	})
 }
 
 // recentFailureWindow is how long a failed call to the store counts as recent.
--- /dev/null
+++ b/pkg/feed/late.go
@@ -0,0 +1,129 @@
+package feed
+
+import (
+	"time"
+
+	"lentilpin/pkg/clock"
+	"lentilpin/pkg/events"
+)
+
+const (
+	// evacuationReadDelay is the time since the last complete poll after which the
+	// evacuations are read apart: a poll is held up, for example by a large settings tree.
+	// It is longer than the usual time between two polls of the store, and leaves half of
+	// the 5 s in which an evacuation must take effect.
+	evacuationReadDelay = 2500 * time.Millisecond
+	// evacuationReadInterval is the time between two such reads, and lateCheckInterval how
+	// often the age of the last complete poll is checked.
+	evacuationReadInterval = time.Second
+	lateCheckInterval      = 100 * time.Millisecond
+	// maxEvacuationPages bounds the pages of one read. Other writers may write any number
+	// of keys.
+	maxEvacuationPages = 32
+)
+
+// readLateEvacuations reads the evacuations apart while no poll completes.
+func (r *Reader) readLateEvacuations() {
+	hasFailed := false
+	for wait := lateCheckInterval; clock.Sleep(r.ctx, wait); {
+		wait = lateCheckInterval
+		last := r.lastComplete.Load()
+		if last == 0 || time.Since(time.Unix(0, last)) < evacuationReadDelay {
+			continue
+		}
+		wait = evacuationReadInterval
+		p, err := r.readEvacuations()
+		if err != nil {
+			if !hasFailed && r.ctx.Err() == nil {
+				r.options.Recorder.Record(eventEvacuationsReadFailed, events.F("error", err.Error()))
+			}
+			hasFailed = true
+			continue
+		}
+		hasFailed = false
+		r.applyAhead(p.Changes, p.At)
+	}
+}
+
+// readEvacuations reads the keys of evacuations from the store, at most
+// maxEvacuationPages.
+func (r *Reader) readEvacuations() (all Page, err error) {
+	after := ""
+	for range maxEvacuationPages {
+		r.countCall(CallEvacuations)
+		p, err := r.options.Store.Evacuations(r.ctx, after)
+		if err != nil {
+			return Page{}, err
+		}
+		all.Changes, all.At, all.HasMore = append(all.Changes, p.Changes...), p.At, p.HasMore && len(p.Changes) > 0
+		if !all.HasMore {
+			break
+		}
+		after = p.Changes[len(p.Changes)-1].Key
+	}
+	return all, nil
+}
+
+// evacuationsTo reads the evacuations and returns the changes that lead to them. The store
+// had reached the given position before. The error is ErrHistoryLost if the store was
+// restored since.
+func (r *Reader) evacuationsTo(to Position) ([]Change, error) {
+	p, err := r.readEvacuations()
+	if err != nil {
+		return nil, err
+	}
+	if p.At.Era != to.Era {
+		return nil, ErrHistoryLost
+	}
+	if p.HasMore {
+		to = Position{} // a key that was not read may exist
+	}
+	return r.evacuations.changesTo(p.Changes, to), nil
+}
+
+// applyAhead applies evacuations that were learned before the changes that precede them,
+// and makes them available to peers. Those of another era than that of the log are left to
+// the next complete read.
+func (r *Reader) applyAhead(changes []Change, at Position) {
+	if at.Era != r.log.lastPosition().Era {
+		return
+	}
+	if r.evacuations.apply(changes, time.Now()) {
+		r.publishEvacuations()
+	}
+	r.log.addAhead(changes, at.Era)
+}
+
+// publishEvacuations publishes the current evacuations with the last published backend
+// servers, if there is a list.
+func (r *Reader) publishEvacuations() {
+	r.publish(func() {
+		if r.listNumber > 0 {
+			r.instanceList = r.evacuations.withRegistered(r.registered)
+			r.listNumber++
+		}
+	})
+}
+
+// recordComplete records that everything that the store holds was read, but for settings
+// trees.
+func (r *Reader) recordComplete(now time.Time) { r.lastComplete.Store(now.UnixNano()) }
+
+// separateAhead separates the changes up to a position from evacuations that a relay has
+// passed on ahead of its log.
+func (r *Reader) separateAhead(changes []Change, to Position) (inOrder, ahead []Change) {
+	for i, c := range changes {
+		if c.Revision > to.Revision && r.options.Translator.Kind(c.Key) == Evacuation {
+			if ahead == nil {
+				inOrder = append(inOrder, changes[:i]...)
+			}
+			ahead = append(ahead, c)
+		} else if ahead != nil {
+			inOrder = append(inOrder, c)
+		}
+	}
+	if ahead == nil {
+		return changes, nil
+	}
+	return inOrder, ahead
+}
--- a/pkg/feed/load.go
+++ b/pkg/feed/load.go
@@ -215,9 +215,12 @@
 	}
 	if last := r.log.lastPosition(); last.Era < at.Era && last != (Position{}) {
 		r.options.Recorder.Record(eventStoreRestored, events.F("era", at.Era), events.F("revision", at.Revision), events.F("previous_revision", last.Revision))
+		r.evacuations.beginEra(newest, now)
 		r.backends.beginEra(newest, now)
 	}
 	r.completeAt, r.treesAt, r.hasLostRelay = now, treesAt, false
+	r.recordComplete(now)
+	r.evacuations.replace(newest, at, now)
 	r.backends.replace(newest, now, r.storeFailedRecently(now))
 	r.publishInstances(now)
 	for key, c := range newest {
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -142,7 +142,9 @@
 	lastPeerRequest atomic.Int64 // last request of a peer, Unix nanoseconds
 	pollsStore      atomic.Bool  // whether the store is polled, and not a relay
 	lastUpdate      atomic.Int64 // last answer of the store or of a relay, Unix nanoseconds; 0: none
+	lastComplete    atomic.Int64 // last time at which everything but settings trees was known, Unix nanoseconds; 0: none
 	backends        registrations
+	evacuations     *evacuations
 	relayBackoff    map[string]relayBackoff // failed relays, by address
 	loadedFrom      string                  // the relay that delivered the full state last
 	keepRelayUntil  time.Time
@@ -166,6 +168,7 @@
 	receivedTree  *Change                 // newest settings tree that is not decoded yet; nil: none
 	announcedTree uint64                  // highest version that a relay has announced without its value
 	listNumber    uint64                  // number of instance lists published so far
+	registered    []platform.Instance     // the backend servers in instanceList
 	instanceList  []platform.Instance
 }
 
@@ -182,7 +185,9 @@
 	if store, ok := options.Store.(HeldUpNotifier); ok {
 		store.NotifyHeldUp(func() { signal(r.heldUp) })
 	}
+	r.evacuations = newEvacuations(options.Translator, options.Recorder)
 	r.backends = newRegistrations(options.Translator, options.Recorder)
+	r.backends.isEvacuated = r.evacuations.contains
 	r.log.reset(Position{})
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
@@ -215,8 +220,9 @@
 }
 
 // WatchInstances waits for an instance list with a number above after and returns
-// its number and content. The number increases with each list. The error is that
-// of the context.
+// its number and content: the backend servers, and the evacuated failure domains as
+// instances of kind platform.KindFailureDomain. The number increases with each list. The
+// error is that of the context.
 func (r *Reader) WatchInstances(ctx context.Context, after uint64) (listNumber uint64, list []platform.Instance, err error) {
 	err = r.waitUntil(ctx, func() bool {
 		listNumber, list = r.listNumber, r.instanceList
@@ -251,6 +257,7 @@
 		r.loops.Go(r.decodeReceivedTrees)
 		r.loops.Go(r.fetchAnnouncedTrees)
 		r.loops.Go(r.fetchHeldUpTrees)
+		r.loops.Go(r.readLateEvacuations)
 	})
 	for {
 		r.mu.Lock()
--- a/pkg/feed/registrations.go
+++ b/pkg/feed/registrations.go
@@ -41,6 +41,19 @@
 	heldUntil  map[string]time.Time // when a held backend server is dropped
 	departed   map[string]departure // backend servers that were deregistered lately
 	withheld   map[string]withheldRegistration
+	// isEvacuated reports whether a failure domain is evacuated.
+	isEvacuated func(failureDomain string) bool
+}
+
+// holdGroup is a group of backend servers of which most must vanish to be held. Those that
+// are evacuated say nothing about the others.
+type holdGroup struct {
+	service     string
+	isEvacuated bool
+}
+
+func (l *registrations) holdGroup(i *platform.Instance) holdGroup {
+	return holdGroup{i.Service, l.isEvacuated(i.FailureDomain)}
 }
 
 // newRegistrations returns an empty list.
@@ -48,6 +61,7 @@
 	return registrations{
 		translator: translator, recorder: recorder, known: map[string]registration{},
 		heldUntil: map[string]time.Time{}, departed: map[string]departure{}, withheld: map[string]withheldRegistration{},
+		isEvacuated: func(string) bool { return false },
 	}
 }
 
@@ -136,18 +150,22 @@
 // held returns those of the vanished backend servers that stay listed, and starts
 // and ends their holds.
 func (l *registrations) held(vanished map[string]uint64, now time.Time, storeFailedRecently bool) map[string]bool {
-	known, gone := map[string]int{}, map[string]int{}
-	for key, reg := range l.known {
-		known[reg.instance.Service]++
-		if _, isGone := vanished[key]; isGone {
-			gone[reg.instance.Service]++
+	known, gone := map[holdGroup]int{}, map[holdGroup]int{}
+	if len(vanished) > 0 {
+		for key, reg := range l.known {
+			group := l.holdGroup(&reg.instance)
+			known[group]++
+			if _, isGone := vanished[key]; isGone {
+				gone[group]++
+			}
 		}
 	}
 	out, started := map[string]bool{}, 0
 	for key := range vanished {
-		service := l.known[key].instance.Service
+		reg := l.known[key]
+		group := l.holdGroup(&reg.instance)
 		until, held := l.heldUntil[key]
-		if !held && storeFailedRecently && minExpiredShare*float64(known[service]) < float64(gone[service]) {
+		if !held && storeFailedRecently && minExpiredShare*float64(known[group]) < float64(gone[group]) {
 			until, held = now.Add(expiredHoldTime), true
 			l.heldUntil[key] = until
 			started++
--- a/pkg/feed/registrations_test.go
+++ b/pkg/feed/registrations_test.go
@@ -24,10 +24,17 @@
 		return Tree
 	case strings.HasPrefix(key, "server/"):
 		return Registration
+	case strings.HasPrefix(key, evacuationTestPrefix):
+		return Evacuation
 	}
 	return Other
 }
 
+// evacuationTestPrefix precedes the names of failure domains in the keys of evacuations.
+const evacuationTestPrefix = "evacuate/"
+
+func (textStub) Evacuation(key string) string { return strings.TrimPrefix(key, evacuationTestPrefix) }
+
 func (textStub) Tree(value []byte) (uint64, []byte, error) { return uint64(len(value)), value, nil }
 
 func (textStub) Registration(key string, value []byte) (BackendRegistration, bool) {
--- a/pkg/feed/relay.go
+++ b/pkg/feed/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,12 +15,14 @@
 // changeLog holds what an entry serves to its peers: the newest state of each key, the
 // most recent changes and the newest settings tree.
 type changeLog struct {
-	mu          sync.Mutex
-	state       map[string]Change
-	changes     []Change
-	compacted   uint64        // changes up to this revision have been dropped from the log
-	position    Position      // up to which the log is complete, but for settings trees
-	treesAt     Position      // up to which the settings trees are known, decoded or not
+	mu        sync.Mutex
+	state     map[string]Change
+	changes   []Change
+	compacted uint64   // changes up to this revision have been dropped from the log
+	position  Position // up to which the log is complete, but for settings trees
+	treesAt   Position // up to which the settings trees are known, decoded or not
+	// ahead holds evacuations that were learned before the changes that precede them, by key.
+	ahead       map[string]Change
 	pendingTree uint64        // revision of the tree that is being decoded; 0: none
 	tree        Change        // without its value if that is large
 	treeVersion uint64        // 0: no tree
@@ -30,7 +33,7 @@
 
 // reset empties the log; it then starts at a position.
 func (l *changeLog) reset(at Position) {
-	l.state, l.changes = map[string]Change{}, nil
+	l.state, l.changes, l.ahead = map[string]Change{}, nil, map[string]Change{}
 	l.compacted, l.position = at.Revision, at
 	l.changed = make(chan struct{})
 }
@@ -58,6 +61,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.position, l.treesAt = latest(l.position, to), treesAt
+	maps.DeleteFunc(l.ahead, func(_ string, c Change) bool { return c.Revision <= l.position.Revision })
 	if len(changes) == 0 {
 		return
 	}
@@ -76,6 +80,23 @@
 	l.wakeWaiters()
 }
 
+// addAhead adds evacuations of an era that were learned before the changes that precede
+// them.
+func (l *changeLog) addAhead(changes []Change, era uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	isNew := false
+	for _, c := range changes {
+		if era == l.position.Era && c.Revision > max(l.position.Revision, l.ahead[c.Key].Revision) {
+			l.ahead[c.Key] = c
+			isNew = true
+		}
+	}
+	if isNew {
+		l.wakeWaiters()
+	}
+}
+
 // isTreeLarge reports whether the settings tree is so large that relays do not send it.
 func (l *changeLog) isTreeLarge() bool {
 	l.mu.Lock()
@@ -159,13 +180,15 @@
 	l.changed = make(chan struct{})
 }
 
-// changesAfter returns the changes after a position, or the state of all keys for the
-// zero Position, together with the settings tree unless its version is below unknownTree.
-// If unknownTree is 0, the peer is of a build that doesn't state it, and expects the tree
+// changesAfter returns the changes after the position of a request, or the state of all keys
+// for the zero Position, together with the settings tree unless its version is below
+// UnknownTree, and evacuations ahead of the log from revision UnknownEvacuation on.
+// If UnknownTree is 0, the peer is of a build that doesn't state it, and expects the tree
 // among the changes: it gets only the changes up to the position up to which trees are
 // decoded. changed is closed at the next change. The error is ErrNotReader, also if the
 // log is of an earlier era, or ErrHistoryLost.
-func (l *changeLog) changesAfter(after Position, unknownTree uint64, now time.Time) (out PeerReply, changed chan struct{}, err error) {
+func (l *changeLog) changesAfter(request PeerRequest, now time.Time) (out PeerReply, changed chan struct{}, err error) {
+	after, unknownTree := request.After, request.UnknownTree
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out.At, out.TreesAt = l.position, l.decodedTreesAt()
@@ -194,6 +217,11 @@
 			out.Changes = append(out.Changes, c)
 		}
 	}
+	for _, c := range l.ahead {
+		if request.UnknownEvacuation > 0 && c.Revision >= request.UnknownEvacuation {
+			out.Changes = append(out.Changes, c)
+		}
+	}
 	return out, l.changed, nil
 }
 
@@ -226,7 +254,7 @@
 	deadline := time.Now().Add(min(request.Wait, storePollWait))
 	for {
 		now := time.Now()
-		reply, changed, err := r.log.changesAfter(request.After, request.UnknownTree, now)
+		reply, changed, err := r.log.changesAfter(request, now)
 		if err != nil || len(reply.Changes) > 0 {
 			return reply, err
 		}
--- a/pkg/feed/relay_client.go
+++ b/pkg/feed/relay_client.go
@@ -45,7 +45,8 @@
 	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	reply, err := r.options.PeerClient.Changes(ctx, address, PeerRequest{
-		After: after, UnknownTree: r.knownTree() + 1, Wait: r.backends.limitWait(time.Now(), wait),
+		After: after, UnknownTree: r.knownTree() + 1, UnknownEvacuation: max(after.Revision, r.evacuations.lastRevision()) + 1,
+		Wait: r.backends.limitWait(time.Now(), wait),
 	})
 	if err != nil && r.ctx.Err() == nil && !errors.Is(err, ErrHistoryLost) {
 		isNotReader := errors.Is(err, ErrNotReader)
--- a/pkg/feed/restore_test.go
+++ b/pkg/feed/restore_test.go
@@ -235,7 +235,7 @@
 		{"era not stated, by an earlier build", Position{Revision: 5}, nil},
 	} {
 		t.Run(tt.desc, func(t *testing.T) {
-			_, _, err := l.changesAfter(tt.after, 0, now)
+			_, _, err := l.changesAfter(PeerRequest{After: tt.after}, now)
 			require.ErrorIs(t, err, tt.want)
 		})
 	}
--- a/pkg/feed/snapshot.go
+++ b/pkg/feed/snapshot.go
@@ -70,7 +70,8 @@
 }
 
 // readFirstPages reads the first page currently, because it holds the settings tree, and
-// stale pages from random places, and publishes the tree and the backend servers of those:
+// stale pages from random places, and publishes the tree, the evacuations and the backend
+// servers of those:
 // on a large deployment, all pages take more than a second when all entries start at once,
 // and a few backend servers are enough to serve the first requests.
 func (r *Reader) readFirstPages(s *snapshot) error {
@@ -78,6 +79,9 @@
 		return err
 	}
 	first := s.changes
+	if err := r.readFirstEvacuations(first); err != nil {
+		return err
+	}
 	var random []Change
 	for range randomPages {
 		p, err := r.readPage(s, randomKey(first, r.options.Translator), true)
@@ -97,6 +101,23 @@
 	return nil
 }
 
+// readFirstEvacuations applies the evacuations of the first page, and reads them apart if
+// the page ends before the registrations: a large settings tree or keys of other writers may
+// fill it.
+func (r *Reader) readFirstEvacuations(first []Change) error {
+	now := time.Now()
+	if n := len(first); n == 0 || r.options.Translator.Kind(first[n-1].Key) != Registration {
+		p, err := r.readEvacuations()
+		if err != nil {
+			return err
+		}
+		first = p.Changes
+	}
+	r.evacuations.apply(first, now)
+	r.recordComplete(now)
+	return nil
+}
+
 const (
 	// randomPages is the number of pages from random places that an entry reads first.
 	randomPages = 2
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -36,9 +36,15 @@
 	KindBackend  = "backend"
 	StateLive    = "live"
 	StateLeaving = "leaving"
+
+	// KindFailureDomain with StateEvacuated says that a failure domain is evacuated: its
+	// backend servers get no requests.
+	KindFailureDomain = "failure_domain"
+	StateEvacuated    = "evacuated"
 )
 
-// Instance is one member of the instance list: an entry or a backend server.
+// Instance is one member of the instance list: an entry, a backend server or an evacuated
+// failure domain.
 type Instance struct {
 	Name          string `json:"name"`
 	Kind          string `json:"kind"`              // entry or backend
