Gateway: send nothing to evacuated failure domains

Cause: the instance list names evacuated failure domains, but backend servers there still got requests. Change: the gateway passes them to routing as evacuated, which keeps their state aside; subsets, the ejection bound, permits, the mean load and the detector of cuts do not count them. Requests, load queries, probes and health checks are checked right before they are written; a service without other backend servers refuses at once. Events 6020 and 6021, gauges, and the view of lentilpinctl instances and backend.

--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -212,6 +212,7 @@
 	for _, v := range sortedKeys(versions) {
 		printLine(w, "version %s is in force at %d of %d entries that answered", v, versions[v], len(replies))
 	}
+	showEvacuated(w, replies)
 	otherMembers := map[string]operator.Member{}
 	knownBy := map[string]int{}
 	for _, reply := range replies {
@@ -236,6 +237,20 @@
 	}
 }
 
+// showEvacuated prints one line for each evacuated failure domain.
+func showEvacuated(w *tabwriter.Writer, replies []EntryReply[operator.InstanceState]) {
+	knownAt, backends := map[string]int{}, map[string]int{}
+	for _, reply := range replies {
+		for _, d := range reply.Result.Evacuated {
+			knownAt[d.FailureDomain]++
+			backends[d.FailureDomain] = max(backends[d.FailureDomain], d.Backends)
+		}
+	}
+	for _, domain := range sortedKeys(knownAt) {
+		printLine(w, "failure domain %q is evacuated at %d of %d entries that answered, %d backend servers", domain, knownAt[domain], len(replies), backends[domain])
+	}
+}
+
 func showDraining(w *tabwriter.Writer, replies []EntryReply[[]operator.DrainMark]) {
 	type row struct {
 		operator.DrainMark
--- a/pkg/entry/operators.go
+++ b/pkg/entry/operators.go
@@ -42,7 +42,9 @@
 // InstanceState implements operator.View.
 func (v operatorView) InstanceState() operator.InstanceState {
 	ready, reason := v.e.ready()
-	return operator.DescribeInstanceState(v.e.settingsStore.State(), ready, reason, v.e.memberTable.Members())
+	state := operator.DescribeInstanceState(v.e.settingsStore.State(), ready, reason, v.e.memberTable.Members())
+	state.Evacuated = v.EvacuatedDomains()
+	return state
 }
 
 // readinessTimeout bounds reading the header of one readiness check and writing
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -12,6 +12,8 @@
 	eventRateLimitChanged     = events.NewChange(6004, logrus.InfoLevel, "rate_limit_changed", "a backend server has stated another rate limit for all instances together, or none any more")
 	eventServiceUnreachable   = events.NewChange(6006, logrus.WarnLevel, "service_unreachable", "no backend server of a service is reached; requests are handed to peers")
 	eventServiceReached       = events.NewChange(6007, logrus.InfoLevel, "service_reached", "a backend server of the service is reached again")
+	eventEvacuationBegun      = events.NewChange(6020, logrus.WarnLevel, "evacuation_begun", "a failure domain is evacuated by an operator; its backend servers get no requests from this instance")
+	eventEvacuationEnded      = events.NewChange(6021, logrus.InfoLevel, "evacuation_ended", "the evacuation of a failure domain has ended; its backend servers are used again")
 	eventServerBackoff        = events.New(6005, logrus.InfoLevel, "backend_backoff", "a backend server has refused a request and gets no further ones from this instance for some time")
 	// Each non-idempotent request whose outcome the caller does not know is
 	// written to the log stream, which outlives the instance, so that operators
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -102,8 +102,10 @@
 	requestIDPrefix string
 	requestSequence atomic.Uint64
 	current         atomic.Pointer[snapshot]
-	updateMu        sync.Mutex          // serializes replacements of the snapshot
-	list            []platform.Instance // latest instance list, guarded by updateMu
+	updateMu        sync.Mutex                     // serializes replacements of the snapshot
+	list            []platform.Instance            // latest instance list, guarded by updateMu
+	evacuated       atomic.Pointer[map[string]int] // number of backend servers by evacuated failure domain; nil: none yet
+	evacuatedGauge  tally.Gauge
 
 	hasList    atomic.Bool   // an instance list was received
 	normal     atomic.Uint64 // requests that completed normally
@@ -126,6 +128,7 @@
 		drain:           newDrainState(),
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
+		evacuatedGauge:  options.Scope.Gauge("failure_domains_evacuated"),
 		bodyMemory:      limit.NewMemory(cmp.Or(options.BodyMemoryBytes, defaultBodyMemoryBytes)),
 	}
 	g.current.Store(&snapshot{callers: newCallerConfig(&options.Callers)})
@@ -213,18 +216,21 @@
 	return s
 }
 
-// UpdateInstances applies a new instance list of the platform.
+// UpdateInstances applies a new instance list of the platform, with the evacuated failure
+// domains.
 func (g *Gateway) UpdateInstances(list []platform.Instance) {
 	g.updateMu.Lock()
 	defer g.updateMu.Unlock()
 	g.list = list
 	g.applyInstances(g.current.Load().list)
+	g.setEvacuated(evacuatedDomains(list))
 	g.hasList.Store(true)
 }
 
 // applyInstances applies the latest instance list to services. g.updateMu must be held.
 func (g *Gateway) applyInstances(services []*service) {
-	live := map[string][]routing.Backend{}
+	evacuatedDomains := evacuatedDomains(g.list)
+	live, evacuated := map[string][]routing.Backend{}, map[string][]routing.Backend{}
 	leaving := map[string][]string{}
 	for _, i := range g.list {
 		if i.Kind != platform.KindBackend {
@@ -237,10 +243,14 @@
 				continue // this combination of address and ID never becomes live again
 			}
 		}
-		live[i.Service] = append(live[i.Service], b)
+		if _, b.IsEvacuated = evacuatedDomains[i.FailureDomain]; b.IsEvacuated {
+			evacuated[i.Service] = append(evacuated[i.Service], b)
+		} else {
+			live[i.Service] = append(live[i.Service], b)
+		}
 	}
 	for _, s := range services {
-		s.updateBackends(live[s.name], leaving[s.name])
+		s.updateBackends(live[s.name], evacuated[s.name], leaving[s.name])
 	}
 }
 
--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -15,6 +15,7 @@
 	backends    tally.Gauge // that this instance uses, including ejected and draining ones
 	ejected     tally.Gauge
 	draining    tally.Gauge
+	evacuated   tally.Gauge // not in backends
 	rateLimited tally.Gauge // that state a rate limit
 	connections tally.Gauge // to backend servers, idle and in use
 	retryTokens tally.Gauge // extra attempts that may be sent now
@@ -23,6 +24,7 @@
 func newGauges(scope tally.Scope) gauges {
 	return gauges{
 		backends: scope.Gauge("backends"), ejected: scope.Gauge("backends_ejected"), draining: scope.Gauge("backends_draining"),
+		evacuated:   scope.Gauge("backends_evacuated"),
 		rateLimited: scope.Gauge("backends_rate_limited"),
 		connections: scope.Gauge("backend_connections"), retryTokens: scope.Gauge("retry_tokens"),
 	}
@@ -34,6 +36,7 @@
 	s.gauges.backends.Update(float64(len(s.routingSet.Servers())))
 	s.gauges.ejected.Update(float64(ejected))
 	s.gauges.draining.Update(float64(draining))
+	s.gauges.evacuated.Update(float64(len(s.routingSet.Evacuated())))
 	s.gauges.rateLimited.Update(float64(len(s.routingSet.RateLimited())))
 	s.gauges.connections.Update(float64(s.pool.OpenConnections()))
 	s.gauges.retryTokens.Update(s.retryBudget.Tokens())
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -194,7 +194,7 @@
 // lastResort hands the request to a peer if res says that it has not run, and backend
 // servers could not be reached by it or lately. Otherwise it returns res.
 func (c *call) lastResort(ctx context.Context, res result) result {
-	if res.run != audit.NotRun || !c.svc.reach.HasFailures() && !c.hasFailedToConnect() {
+	if res.run != audit.NotRun || res.reason == reasonEvacuated || !c.svc.reach.HasFailures() && !c.hasFailedToConnect() {
 		return res
 	}
 	if c.reachedServers() > 0 && !c.svc.retryBudget.TakeRetry(c.g.now()) {
--- a/pkg/gateway/operator_view.go
+++ b/pkg/gateway/operator_view.go
@@ -20,6 +20,7 @@
 		info, _ := s.outliers.ServerInfo(now, server.Key())
 		out = append(out, operator.DescribeBackend(s.routingSet.Explain(now, server.Key()), info))
 	}
+	out = append(out, s.evacuatedBackends()...)
 	slices.SortFunc(out, func(a, b operator.Backend) int { return strings.Compare(a.Address, b.Address) })
 	return out, true
 }
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -23,6 +23,7 @@
 	reasonOverloaded     = "overloaded"
 	reasonRateLimited    = "rate_limited"
 	reasonNoBackend      = "no_backend_server"
+	reasonEvacuated      = "evacuated"
 	reasonUnreachable    = "backends_unreachable"
 	reasonAttemptsFailed = "attempts_failed"
 	reasonBackendLost    = "backend_connection_lost"
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -53,6 +53,7 @@
 			s.retryBudget.Instances(instances())
 			s.retryBudget.Report(g.options.Recorder, s.name)
 			s.updateGauges()
+			s.withdrawEvacuated()
 			s.checkEjected(ctx, probes)
 			s.checkRateLimited(ctx, probes)
 		}
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -81,14 +81,14 @@
 // status is 0 if there was no response. Nothing is sent to a backend server that wants
 // no requests.
 func (s *service) sendInternalRequest(ctx context.Context, server *routing.Server, path string) (status int, signals transport.Signals) {
-	if server.IsBackingOff() {
+	if server.IsBackingOff() || server.IsEvacuated() {
 		return 0, transport.Signals{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, internalRequestTimeout)
 	defer cancel()
 	resp, failure := s.pool.Do(ctx, server.Address(), &transport.Request{
 		Method: http.MethodGet, Target: route.EscapePath(path), Host: server.Address(), Idempotent: true,
-		ExpectedInstance: server.ID(), Probe: true,
+		ExpectedInstance: server.ID(), Probe: true, MayStart: func() bool { return !server.IsEvacuated() },
 	})
 	s.observeReach(server, failure, true)
 	if failure != nil {
--- a/pkg/gateway/reach.go
+++ b/pkg/gateway/reach.go
@@ -23,6 +23,7 @@
 func (s *service) observeReach(server *routing.Server, failure *transport.Failure, isInternal bool) {
 	now := s.now()
 	switch {
+	case server.IsEvacuated(): // says nothing about the backend servers in use
 	case failure == nil:
 		if s.reach.RecordResponse(now) {
 			s.recorder.Record(eventServiceReached)
--- a/pkg/gateway/select.go
+++ b/pkg/gateway/select.go
@@ -15,6 +15,10 @@
 // queue. The refusal is nil on success.
 func (c *call) pickServer(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
 	if len(c.svc.routingSet.Servers()) == 0 {
+		if c.svc.routingSet.HasEvacuated() {
+			res := refuseEvacuated()
+			return nil, &res
+		}
 		res := notRunResult(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").withRetryAfter()
 		return nil, &res
 	}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -149,13 +150,20 @@
 }
 
 // updateBackends replaces the backend servers by the subset of live that this
-// instance uses. leaving holds the keys of the backend servers that the instance
+// instance uses. The evacuated ones are not used and not counted. leaving holds the keys of the backend servers that the instance
 // list marks as leaving; live includes those without an ID.
-func (s *service) updateBackends(live []routing.Backend, leaving []string) {
+func (s *service) updateBackends(live, evacuated []routing.Backend, leaving []string) {
 	now := s.now()
 	conf := s.settings.Load()
-	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
-	s.routingSet.Update(now, live)
+	selectUsed := func(list []routing.Backend) []routing.Backend {
+		return subset.Select(list, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
+	}
+	if len(evacuated) > 0 {
+		// Those that this instance would use without the evacuation.
+		evacuated = slices.DeleteFunc(slices.Clone(selectUsed(slices.Concat(live, evacuated))), func(b routing.Backend) bool { return !b.IsEvacuated })
+	}
+	live = selectUsed(live)
+	returned := s.routingSet.Update(now, slices.Concat(live, evacuated))
 	keys := make([]string, len(live))
 	for i, b := range live {
 		keys[i] = b.Key()
@@ -164,6 +172,11 @@
 	for _, a := range leaving {
 		s.outliers.MarkDraining(now, a, "list")
 	}
+	for _, server := range returned {
+		info, _ := s.outliers.ServerInfo(now, server.Key())
+		server.SetWeight(info.Weight)
+	}
+	s.withdrawEvacuated()
 	s.pruneConcurrencyLimits()
 	s.updateWeights()
 }
@@ -177,7 +190,7 @@
 // observeSignals records the load report, the rate limit, the backoff and the drain
 // signal of a response.
 func (s *service) observeSignals(server *routing.Server, sig transport.Signals, source string) {
-	if sig.HasReport {
+	if sig.HasReport && !server.IsEvacuated() {
 		server.RecordReport(s.now(), sig.Report, 0)
 	}
 	if !sig.Misdirected && server.SetRateLimit(s.now(), sig.RateLimit) {
@@ -196,8 +209,8 @@
 }
 
 // mayStart reports whether a request that was assigned to a backend server may be sent
-// now: the server is still listed, and has neither begun to leave nor refused another
-// request for some time meanwhile.
+// now: the server is still listed and not evacuated, and has neither begun to leave nor
+// refused another request for some time meanwhile.
 func (s *service) mayStart(server *routing.Server) bool {
 	return s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
 }
@@ -242,10 +255,11 @@
 // pruneConcurrencyLimits deletes the limits of backend servers that are no
 // longer listed. Thousands of backend servers are replaced each day.
 func (s *service) pruneConcurrencyLimits() {
+	evacuated := s.routingSet.Evacuated()
 	s.concurrencyLimitsMu.Lock()
 	defer s.concurrencyLimitsMu.Unlock()
 	for server := range s.concurrencyLimits {
-		if s.routingSet.Server(server.Key()) != server {
+		if s.routingSet.Server(server.Key()) != server && !slices.Contains(evacuated, server) {
 			delete(s.concurrencyLimits, server)
 		}
 	}
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -32,7 +32,7 @@
 	s, err := newService(g, "shop", 1, &tree.Lookup("r", "shop").Service)
 	require.NoError(t, err)
 	t.Cleanup(s.pool.Close)
-	s.updateBackends([]routing.Backend{{Address: "a"}}, []string{"a"})
+	s.updateBackends([]routing.Backend{{Address: "a"}}, nil, []string{"a"})
 	g.current.Store(newSnapshot(map[string]*service{"shop": s}, nil, tree))
 	runPeriodic := func() {
 		for tick := range ticksPerRound {
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -58,7 +58,7 @@
 type Backend struct {
 	Address       string        `json:"address"`
 	FailureDomain string        `json:"failure_domain"`
-	State         string        `json:"state"` // healthy, slow_start, ejected or draining
+	State         string        `json:"state"` // healthy, slow_start, ejected, draining or evacuated
 	StateReason   string        `json:"state_reason"`
 	Remaining     time.Duration `json:"remaining_ns"` // time left in the state; 0: unlimited
 	Weight        float64       `json:"weight"`
@@ -110,6 +110,17 @@
 	Confirmed    bool      `json:"confirmed"`
 	Confirmation string    `json:"by"` // source that confirmed the version, or the reason why it is not confirmed
 	Members      []Member  `json:"members"`
+	// Evacuated holds the evacuated failure domains as this instance knows them.
+	Evacuated []EvacuatedDomain `json:"evacuated,omitempty"`
+}
+
+// StateEvacuated is the state of a backend server in an evacuated failure domain.
+const StateEvacuated = "evacuated"
+
+// EvacuatedDomain is a failure domain whose backend servers get no requests.
+type EvacuatedDomain struct {
+	FailureDomain string `json:"failure_domain"`
+	Backends      int    `json:"backends"` // registered in it; 0: the name may be misspelled
 }
 
 // Member is the state of an entry as known to an instance.
--- a/pkg/reach/detector.go
+++ b/pkg/reach/detector.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,24 @@
 	return !d.isCut.Swap(true)
 }
 
+// Forget forgets the failures of the backend servers for which isGone returns true, because
+// they get no more requests. servers is the number of those that remain. It reports whether
+// this ends a cut: too few of the others have failed.
+func (d *Detector) Forget(isGone func(key string) bool, servers int) (ended bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := len(d.failed)
+	maps.DeleteFunc(d.failed, func(key string, _ time.Duration) bool { return isGone(key) })
+	if len(d.failed) == before {
+		return false
+	}
+	d.hasFailures.Store(len(d.failed) > 0)
+	if len(d.failed) >= max(1, min(minFailedServers, servers)) {
+		return false
+	}
+	return d.isCut.Swap(false)
+}
+
 // IsCut reports whether no backend server is reached.
 func (d *Detector) IsCut() bool { return d.isCut.Load() }
 
--- a/pkg/routing/configure.go
+++ b/pkg/routing/configure.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -58,7 +59,7 @@
 	s.stats.SetErrorLatency(errorLatency(settings))
 	s.settings.Store(next)
 	if old != nil && old.settings.ConnectionsPerInstance() != settings.ConnectionsPerInstance() {
-		for _, srv := range s.Servers() {
+		for _, srv := range slices.Concat(s.Servers(), s.Evacuated()) {
 			srv.SetLimit(int32(settings.ConnectionsPerInstance()))
 		}
 	}
--- a/pkg/routing/explain.go
+++ b/pkg/routing/explain.go
@@ -52,6 +52,10 @@
 	st := s.settings.Load()
 	e := Explanation{Address: key, Policy: st.policyName, MeanLatency: s.stats.MeanLatency(), MeanLoad: s.stats.MeanLoad(), ReportConfidence: s.stats.ReportConfidence()}
 	srv := s.Server(key)
+	if srv == nil && (*s.evacuated.Load())[key] != nil {
+		e.Reasons = []string{ReasonEvacuated}
+		return e
+	}
 	if srv == nil {
 		e.Reasons = []string{"not in the instance list of this instance"}
 		return e
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -25,6 +25,7 @@
 	ID                     string        // identity under which it accepts requests; empty: not stated
 	Start                  string        // distinguishes starts of the process under the same ID
 	WarmupRemaining        time.Duration // remaining time of slow operation after a cold start
+	IsEvacuated            bool          // its failure domain gets no requests
 }
 
 // Key returns the key of the backend server; see Server.Key.
@@ -89,6 +90,7 @@
 	hasPermit        atomic.Bool                     // one attempt is permitted although the backend server is rate-limited
 	backoffUntil     atomic.Int64                    // time until which the backend server wants no requests
 	isBackingOff     atomic.Bool                     // until EndBackoff after backoffUntil
+	isEvacuated      atomic.Bool                     // the failure domain gets no requests
 	loadQuery        loadQuery
 	probedAt         atomic.Int64 // time of the last probe plus one nanosecond; 0: never probed
 
@@ -163,10 +165,11 @@
 }
 
 // BeginAttempt counts an attempt as in flight and returns true. It returns false if
-// the weight is 0, the backend server wants no requests, the limit is reached or the rate limit permits no attempt. It uses
-// the permit of a rate-limited backend server.
+// the weight is 0, the backend server is evacuated or wants no requests, the limit is
+// reached or the rate limit permits no attempt. It uses the permit of a rate-limited backend
+// server.
 func (s *Server) BeginAttempt() bool {
-	if s.weight.Load() == 0 || s.isBackingOff.Load() {
+	if s.weight.Load() == 0 || s.isBackingOff.Load() || s.isEvacuated.Load() {
 		return false
 	}
 	n := s.inflight.Add(1)
@@ -364,7 +367,7 @@
 
 // Usable reports whether the backend server may take an attempt now.
 func (s *Server) Usable() bool {
-	return s.weight.Load() != 0 && !s.isBackingOff.Load() && s.isPermitted() && s.inflight.Load() < s.limit.Load()
+	return s.weight.Load() != 0 && !s.isBackingOff.Load() && !s.isEvacuated.Load() && s.isPermitted() && s.inflight.Load() < s.limit.Load()
 }
 
 // updateUsable updates the bit of this backend server in the bitmap of the current
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -68,6 +68,7 @@
 
 	mu           sync.Mutex // serializes Update and Configure
 	serversByKey atomic.Pointer[map[string]*Server]
+	evacuated    atomic.Pointer[map[string]*Server] // evacuated backend servers, by key
 }
 
 // randShards is the number of random sources. A decision uses the first unlocked
@@ -90,6 +91,7 @@
 	}
 	s.list.Store(server.NewList(nil, 0))
 	s.serversByKey.Store(&map[string]*Server{})
+	s.evacuated.Store(&map[string]*Server{})
 	if err := s.Configure(o.Settings); err != nil {
 		return nil, err
 	}
@@ -98,22 +100,26 @@
 
 // Update replaces the list of backend servers. A backend server that is already
 // known keeps its state unless its failure domain changes. Backend servers that
-// are no longer listed get no new attempts; their attempts in flight continue.
-func (s *Set) Update(now time.Duration, list []Backend) {
+// are no longer listed get no new attempts; their attempts in flight continue. Evacuated
+// ones get none either, and are kept aside with their state. Update returns those whose
+// evacuation has ended: their weight is 0 until the calling code sets it.
+func (s *Set) Update(now time.Duration, list []Backend) (returned []*Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := *s.serversByKey.Load(), map[string]*Server{}
+	known := map[string]*Server{}
 	limit := int32(s.settings.Load().settings.ConnectionsPerInstance())
+	evacuated := s.evacuate(now, list, limit)
 	servers := make([]*Server, 0, len(list))
 	for _, b := range list {
 		key := b.Key()
-		if known[key] != nil {
+		if known[key] != nil || evacuated[key] != nil {
 			continue
 		}
-		srv := old[key]
-		if srv == nil || srv.FailureDomain() != b.FailureDomain {
-			srv = server.New(b, b.FailureDomain == s.options.FailureDomain, s.stats, limit)
-			srv.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
+		srv := s.keep(b, limit)
+		if srv.IsEvacuated() {
+			srv.SetWeight(0)
+			srv.SetEvacuated(false)
+			returned = append(returned, srv)
 		}
 		if b.WarmupRemaining > 0 {
 			srv.SetCold(now, b.WarmupRemaining)
@@ -136,6 +142,15 @@
 	}
 	s.list.Store(server.NewList(servers, local))
 	s.serversByKey.Store(&known)
+	s.evacuated.Store(&evacuated)
+	return returned
+}
+
+// newServer returns the state of a backend server that was not known before.
+func (s *Set) newServer(b Backend, key string, limit int32) *Server {
+	srv := server.New(b, b.FailureDomain == s.options.FailureDomain, s.stats, limit)
+	srv.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
+	return srv
 }
 
 // maxPickTries is the number of decisions that Pick makes when other goroutines
