--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -42,6 +42,9 @@
 	// FirstStart states that the whole system starts for the first time, so that
 	// no caller waits for this instance yet. Only the platform adapter sets it.
 	FirstStart bool `json:"-"`
+	// EvacuationMS is the time in milliseconds in which an evacuation must take effect; 0:
+	// that of package feed.
+	EvacuationMS int `json:"-"`
 	// Callers applies until the first settings tree is in force.
 	Callers dynamic.Callers `json:"-"`
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/feed"
@@ -70,6 +71,7 @@
 			},
 			Instances:  func() int { return e.memberTable.LiveInstances() },
 			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
+			EvacuationBound: dynamic.MillisToDuration(conf.EvacuationMS),
 		})
 		return e.feed
 	})
--- a/pkg/feed/doc.go
+++ b/pkg/feed/doc.go
@@ -50,10 +50,11 @@
 // still lists, is not used for three heartbeat intervals unless it registers again.
 //
 // Evacuated failure domains are keys like others. A poll that is held up, by a large tree or
-// the values of other writers, must not delay them: an entry without a complete poll for
-// evacuationReadDelay reads their keys apart, and a relay passes them on ahead of its log.
-// An entry knows them before it publishes the first list. No older state ends an
-// evacuation; one that a restored store lacks stays in force for a minute.
+// the values of other writers, must not delay them beyond the time in which an evacuation
+// must take effect: an entry without a complete poll for half of that time reads their keys
+// apart, and a relay passes them on ahead of its log. An entry knows them before it publishes
+// the first list. No older state ends an evacuation; one that a restored store lacks stays in
+// force for a minute.
 //
 // Messages: peerpb.Changes. State: the newest value of each key and the log of
 // changes; both are lost on exit and read again at the start.
--- a/pkg/feed/late.go
+++ b/pkg/feed/late.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"time"
 
 	"lentilpin/pkg/clock"
@@ -8,11 +9,13 @@
 )
 
 const (
-	// evacuationReadDelay is the time since the last complete poll after which the
-	// evacuations are read apart: a poll is held up, for example by a large settings tree.
-	// It is longer than the usual time between two polls of the store, and leaves half of
-	// the 5 s in which an evacuation must take effect.
-	evacuationReadDelay = 2500 * time.Millisecond
+	// defaultEvacuationBound is the time in which an evacuation must take effect. After half
+	// of it without a complete poll the evacuations are read apart: a poll is held up, for
+	// example by a large settings tree. Half of the default is longer than the usual time
+	// between two polls of the store; minEvacuationReadDelay bounds the calls to the store
+	// where the bound is short.
+	defaultEvacuationBound = 5 * time.Second
+	minEvacuationReadDelay = time.Second
 	// evacuationReadInterval is the time between two such reads, and lateCheckInterval how
 	// often the age of the last complete poll is checked.
 	evacuationReadInterval = time.Second
@@ -24,11 +27,11 @@
 
 // readLateEvacuations reads the evacuations apart while no poll completes.
 func (r *Reader) readLateEvacuations() {
-	hasFailed := false
+	hasFailed, readDelay := false, max(minEvacuationReadDelay, cmp.Or(r.options.EvacuationBound, defaultEvacuationBound)/2)
 	for wait := lateCheckInterval; clock.Sleep(r.ctx, wait); {
 		wait = lateCheckInterval
 		last := r.lastComplete.Load()
-		if last == 0 || time.Since(time.Unix(0, last)) < evacuationReadDelay {
+		if last == 0 || time.Since(time.Unix(0, last)) < readDelay {
 			continue
 		}
 		wait = evacuationReadInterval
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -128,6 +128,9 @@
 	// TreeInForce returns the version of the settings tree in force, which may
 	// have come from a peer; 0: none. nil: trees do not come from peers.
 	TreeInForce func() uint64
+	// EvacuationBound is the time in which an evacuation must take effect; 0: 5 s. After
+	// half of it without a complete poll the evacuations are read apart.
+	EvacuationBound time.Duration
 }
 
 // Reader keeps the settings tree and the instance list of an entry up to date.
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
 
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/operator"
@@ -94,6 +96,30 @@
 	}
 }
 
+// returnSpread is the time over which an instance takes back the backend servers of a failure
+// domain that is no longer evacuated. All instances learn of the end within a second, and the
+// backend servers may be cold: they get their share of load queries and requests by and by.
+const returnSpread = 2 * time.Second
+
+// takeBack sets the weight of backend servers whose evacuation has ended, and delays their
+// use by random times. They are used at once if they are more than the others, which then
+// hardly carry the load.
+func (s *service) takeBack(now time.Duration, returned []*routing.Server, others int) {
+	b := &s.backoffs
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, server := range returned {
+		if len(returned) <= others {
+			server.BackOff(now + rand.N(returnSpread))
+			if !slices.Contains(b.list, server) {
+				b.list = append(b.list, server)
+			}
+		}
+		info, _ := s.outliers.ServerInfo(now, server.Key())
+		server.SetWeight(info.Weight)
+	}
+}
+
 // refuseEvacuated is the refusal of a request of a service all of whose backend servers are
 // evacuated.
 func refuseEvacuated() result {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -172,10 +172,7 @@
 	for _, a := range leaving {
 		s.outliers.MarkDraining(now, a, "list")
 	}
-	for _, server := range returned {
-		info, _ := s.outliers.ServerInfo(now, server.Key())
-		server.SetWeight(info.Weight)
-	}
+	s.takeBack(now, returned, len(live)-len(returned))
 	s.withdrawEvacuated()
 	s.pruneConcurrencyLimits()
 	s.updateWeights()
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -57,11 +57,70 @@
 // soak is a fleet over loopback sockets in front of backend servers over pipes.
 type soak struct {
 	t         *testing.T
-	backend   *pipe.Backend
+	backends  map[string]*pipe.Backend   // by address; the first is in zone-0, the second in zone-1
 	cut       [soakInstances]atomic.Bool // from all backend servers
 	mu        sync.Mutex
 	instances [soakInstances]*soakInstance
 	acceptors map[string]bool // addresses as the instances know them
+	evacuated bool            // zone-1
+}
+
+// list returns the instance list. s.mu must be held.
+func (s *soak) list() (out []platform.Instance) {
+	for address := range s.backends {
+		out = append(out, platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: address, State: platform.StateLive, FailureDomain: zoneOf(address)})
+	}
+	if s.evacuated {
+		out = append(out, platform.Instance{Kind: platform.KindFailureDomain, FailureDomain: "zone-1", State: platform.StateEvacuated})
+	}
+	return out
+}
+
+// setEvacuated begins or ends the evacuation of zone-1 at all instances.
+func (s *soak) setEvacuated(isEvacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = isEvacuated
+	for _, instance := range s.instances {
+		instance.gateway.UpdateInstances(s.list())
+	}
+}
+
+// attemptsInEvacuatedZone returns the number of attempts in progress in zone-1.
+func (s *soak) attemptsInEvacuatedZone() (n int32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		for _, server := range instance.gateway.service("shop").routingSet.Evacuated() {
+			n += server.Inflight()
+		}
+	}
+	return n
+}
+
+// evacuateInTurn evacuates zone-1 and takes it back until ctx ends. Once the attempts from
+// before an evacuation have ended, no request may arrive there.
+func (s *soak) evacuateInTurn(ctx context.Context, random *rand.Rand) (evacuations int) {
+	arrivals := func() int { return len(s.backends["127.0.0.1:9001"].Arrivals()) }
+	for ; clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond); evacuations++ {
+		s.setEvacuated(true)
+		for s.attemptsInEvacuatedZone() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		before := arrivals()
+		clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond)
+		require.Equal(s.t, before, arrivals())
+		s.setEvacuated(false)
+	}
+	return evacuations
+}
+
+// runs returns how often all backend servers ran the request with a token.
+func (s *soak) runs(token string) (n int) {
+	for _, b := range s.backends {
+		n += b.Runs(token)
+	}
+	return n
 }
 
 // start starts instance i on the addresses that it had before, if any.
@@ -79,19 +138,19 @@
 		Log:      audit.New(1000, 100), Recorder: events.Discard{}, Scope: tally.NoopScope,
 		OrdinalConflict: func() bool { return true }, NotifyPeers: func() {}, Instances: func() int { return 1 }, Ready: func() (bool, string) { return true, "" },
 		Peers: directory, PeerSecret: "secret of the fleet",
-		dial: func(context.Context, string) (net.Conn, error) {
+		dial: func(_ context.Context, address string) (net.Conn, error) {
 			if s.cut[i].Load() {
 				return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 			}
-			return s.backend.DialFrom(i)
+			return s.backends[address].DialFrom(i)
 		},
 	})
 	tree := strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 5000, "requireKey": false`, 1)
 	require.Equal(s.t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
-	g.UpdateInstances([]platform.Instance{{Kind: platform.KindBackend, Service: "shop", Address: "127.0.0.1:9000", State: platform.StateLive}})
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	g.UpdateInstances(s.list())
 	previous := s.instances[i]
 	if previous == nil {
 		previous = &soakInstance{callerAddress: "127.0.0.1:0", requestsAddress: "127.0.0.1:0"}
@@ -184,7 +243,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	runs := s.backend.Runs(token)
+	runs := s.runs(token)
 	switch run := resp.Header.Get(runHeader); {
 	case err != nil:
 		counts.broken.Add(1)
@@ -203,7 +262,8 @@
 
 // Guards against orders that are lost, run twice or reported wrongly because the peers to
 // which they are handed are stopped and started, one after another and two at once, while
-// callers keep using their open connections.
+// callers keep using their open connections; and against orders that are sent to a failure
+// domain that is evacuated meanwhile, and taken back.
 func TestPeersRestartWhileRequestsAreHandedToThem(t *testing.T) {
 	seeds := 1
 	if text := os.Getenv(soakSeedsVariable); text != "" {
@@ -217,8 +277,10 @@
 }
 
 func playSoak(t *testing.T, random *rand.Rand) {
-	s := &soak{t: t, backend: pipe.New(), acceptors: map[string]bool{}}
-	defer s.backend.Close()
+	s := &soak{t: t, backends: map[string]*pipe.Backend{"127.0.0.1:9000": pipe.New(), "127.0.0.1:9001": pipe.New()}, acceptors: map[string]bool{}}
+	for _, b := range s.backends {
+		defer b.Close()
+	}
 	for i := range soakInstances {
 		s.start(i)
 	}
@@ -228,6 +290,8 @@
 	var work sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), soakSpan)
 	defer cancel()
+	evacuations, evacuationRandom := 0, rand.New(rand.NewPCG(random.Uint64(), 0))
+	work.Go(func() { evacuations = s.evacuateInTurn(ctx, evacuationRandom) })
 	for caller := range 8 {
 		work.Go(func() {
 			client := &http.Client{Timeout: soakTimeout}
@@ -256,6 +320,8 @@
 		s.shutDown(i)
 	}
 	t.Logf("served %d, refused as not run %d, unknown %d, broken %d", counts.served.Load(), counts.refused.Load(), counts.unknown.Load(), counts.broken.Load())
+	require.Positive(t, evacuations)
+	require.NotEmpty(t, s.backends["127.0.0.1:9001"].Arrivals())
 	require.Zero(t, counts.unknown.Load(), "only peers that shut down in an orderly way are involved")
 	require.Zero(t, counts.broken.Load())
 	require.Greater(t, counts.served.Load(), counts.refused.Load())
