Evacuation: read again after a pause, refuse queued requests at once

Cause: a process that was frozen sent what it had assigned before the freeze to failure domains evacuated meanwhile, and a request in the queue waited for its full time when all failure domains were evacuated. Change: an entry that has not read the evacuations within their bound reads them first; requests wait for that up to 200 ms right before they are written. Queued requests are refused when the last failure domain is evacuated. Result: go test -race -run Evacuation of gateway and feed passes; the tests fail without the wait and without the refusal.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -111,6 +111,7 @@
 		Peers:           acceptors{e},
 		PeerSecret:      conf.Secrets.Peer,
 		NotifyPeers:     func() { e.memberTable.NotifyPeers() },
+		IsListCurrent:   func() bool { return e.feed == nil || e.feed.IsCurrent() },
 	})
 	e.memberTable = membership.New(membership.Options{
 		Self: &peerpb.Member{
--- a/pkg/feed/evacuations_test.go
+++ b/pkg/feed/evacuations_test.go
@@ -159,7 +159,10 @@
 				time.Sleep(evacuationBound * 9 / 10)
 				require.Equal(t, len(f.readers), f.entriesListing(zone))
 				store.locked(func() { store.unavailable = true })
-				time.Sleep(10 * time.Second)
+				for range 1000 {
+					time.Sleep(10 * time.Millisecond)
+					require.True(t, f.readers[0].IsCurrent() && f.readers[5].IsCurrent(), "requests would wait")
+				}
 				require.Equal(t, len(f.readers), f.entriesListing(zone), "during an outage of the store")
 				store.locked(func() { store.unavailable = false })
 				store.remove(key)
@@ -216,3 +219,22 @@
 		}, p.changes)
 	})
 }
+
+// Guards against requests that are sent after a pause of the process before the evacuations
+// have been read again.
+func TestEvacuationsAreReadAfterPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.put("server/a", "stock 1")
+		r := NewReader(Options{Store: store, Translator: textStub{}, Recorder: events.Discard{}})
+		defer r.Close()
+		_, _, err := r.WatchInstances(t.Context(), 0)
+		require.NoError(t, err)
+		require.True(t, r.IsCurrent())
+		r.lastComplete.Store(time.Now().Add(-evacuationBound).UnixNano())
+		require.False(t, r.IsCurrent())
+		time.Sleep(2 * lateCheckInterval)
+		require.True(t, r.IsCurrent())
+		store.locked(func() { require.Equal(t, 1, store.evacuationCalls) })
+	})
+}
--- a/pkg/feed/late.go
+++ b/pkg/feed/late.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"lentilpin/pkg/clock"
@@ -19,6 +20,7 @@
 	// evacuationReadInterval is the time between two such reads, and lateCheckInterval how
 	// often the age of the last complete poll is checked.
 	evacuationReadInterval = time.Second
+	evacuationReadTimeout  = time.Second // of one page
 	lateCheckInterval      = 100 * time.Millisecond
 	// maxEvacuationPages bounds the pages of one read. Other writers may write any number
 	// of keys.
@@ -27,15 +29,15 @@
 
 // readLateEvacuations reads the evacuations apart while no poll completes.
 func (r *Reader) readLateEvacuations() {
-	hasFailed, readDelay := false, max(minEvacuationReadDelay, cmp.Or(r.options.EvacuationBound, defaultEvacuationBound)/2)
+	hasFailed := false
 	for wait := lateCheckInterval; clock.Sleep(r.ctx, wait); {
 		wait = lateCheckInterval
 		last := r.lastComplete.Load()
-		if last == 0 || time.Since(time.Unix(0, last)) < readDelay {
+		if last == 0 || time.Since(time.Unix(0, last)) < r.evacuationReadDelay() {
 			continue
 		}
 		wait = evacuationReadInterval
-		p, err := r.readEvacuations()
+		p, err := r.readEvacuations(evacuationReadTimeout)
 		if err != nil {
 			if !hasFailed && r.ctx.Err() == nil {
 				r.options.Recorder.Record(eventEvacuationsReadFailed, events.F("error", err.Error()))
@@ -48,13 +50,36 @@
 	}
 }
 
+// evacuationBound returns the time in which an evacuation must take effect.
+func (r *Reader) evacuationBound() time.Duration {
+	return cmp.Or(r.options.EvacuationBound, defaultEvacuationBound)
+}
+
+// evacuationReadDelay returns the time since the last complete poll after which the
+// evacuations are read apart.
+func (r *Reader) evacuationReadDelay() time.Duration {
+	return max(minEvacuationReadDelay, r.evacuationBound()/2)
+}
+
+// IsCurrent reports whether this entry has read the evacuations, or has failed to, within
+// the time in which one must take effect. It returns false only after the process has not
+// run for some time, until the next read ends.
+func (r *Reader) IsCurrent() bool {
+	last := max(r.lastComplete.Load(), r.lastSeparate.Load())
+	slowest := r.evacuationReadDelay() + 2*lateCheckInterval + evacuationReadTimeout + evacuationReadInterval
+	return time.Since(time.Unix(0, last)) < max(slowest, r.evacuationBound())
+}
+
 // readEvacuations reads the keys of evacuations from the store, at most
-// maxEvacuationPages.
-func (r *Reader) readEvacuations() (all Page, err error) {
+// maxEvacuationPages, each within timeout.
+func (r *Reader) readEvacuations(timeout time.Duration) (all Page, err error) {
 	after := ""
 	for range maxEvacuationPages {
 		r.countCall(CallEvacuations)
-		p, err := r.options.Store.Evacuations(r.ctx, after)
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
+		p, err := r.options.Store.Evacuations(ctx, after)
+		cancel()
+		r.lastSeparate.Store(time.Now().UnixNano())
 		if err != nil {
 			return Page{}, err
 		}
@@ -71,7 +96,7 @@
 // had reached the given position before. The error is ErrHistoryLost if the store was
 // restored since.
 func (r *Reader) evacuationsTo(to Position) ([]Change, error) {
-	p, err := r.readEvacuations()
+	p, err := r.readEvacuations(storePollWait)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -145,6 +145,7 @@
 	lastPeerRequest atomic.Int64 // last request of a peer, Unix nanoseconds
 	pollsStore      atomic.Bool  // whether the store is polled, and not a relay
 	lastUpdate      atomic.Int64 // last answer of the store or of a relay, Unix nanoseconds; 0: none
+	lastSeparate    atomic.Int64 // end of the last read of the evacuations apart, also a failed one, Unix nanoseconds; 0: none
 	lastComplete    atomic.Int64 // last time at which everything but settings trees was known, Unix nanoseconds; 0: none
 	backends        registrations
 	evacuations     *evacuations
--- a/pkg/feed/snapshot.go
+++ b/pkg/feed/snapshot.go
@@ -107,7 +107,7 @@
 func (r *Reader) readFirstEvacuations(first []Change) error {
 	now := time.Now()
 	if n := len(first); n == 0 || r.options.Translator.Kind(first[n-1].Key) != Registration {
-		p, err := r.readEvacuations()
+		p, err := r.readEvacuations(relayLoadTimeout)
 		if err != nil {
 			return err
 		}
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -96,6 +96,23 @@
 	}
 }
 
+const (
+	// maxListWait bounds the wait for the evacuations after a pause of the process. Reading
+	// them takes some milliseconds if the store answers; what was last known is in force
+	// otherwise.
+	maxListWait      = 200 * time.Millisecond
+	listPollInterval = 2 * time.Millisecond
+)
+
+// waitForCurrentList waits until the evacuations are up to date. After a pause of the
+// process, a request that was assigned before it may go to a failure domain that was
+// evacuated meanwhile.
+func (s *service) waitForCurrentList() {
+	for end := s.now() + maxListWait; !s.isListCurrent() && s.now() < end; {
+		time.Sleep(listPollInterval)
+	}
+}
+
 // returnSpread is the time over which an instance takes back the backend servers of a failure
 // domain that is no longer evacuated. All instances learn of the end within a second, and the
 // backend servers may be cold: they get their share of load queries and requests by and by.
@@ -120,6 +137,11 @@
 	}
 }
 
+// isEvacuated reports whether the service has backend servers and all are evacuated.
+func (s *service) isEvacuated() bool {
+	return len(s.routingSet.Servers()) == 0 && s.routingSet.HasEvacuated()
+}
+
 // refuseEvacuated is the refusal of a request of a service all of whose backend servers are
 // evacuated.
 func refuseEvacuated() result {
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,6 +78,49 @@
 	}
 }
 
+// Guards against a request that is sent to an evacuated failure domain right after a pause of
+// the process, and against requests that are not sent at all while the store is silent.
+func TestEvacuationDuringPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, 2)
+		defer f.close()
+		f.evacuate("zone-1")
+		var isCurrent atomic.Bool
+		f.gateways[0].options.IsListCurrent = isCurrent.Load
+		f.delayDials(0)
+		answered := make(chan response)
+		go func() { answered <- f.send(f.gateways[0], read("a")) }()
+		synctest.Wait()
+		require.Equal(t, []string{"127.0.0.1:9000"}, f.dialedAddresses())
+		f.evacuate("zone-0")
+		isCurrent.Store(true)
+		require.Equal(t, http.StatusOK, (<-answered).Code)
+		require.Empty(t, f.backends["127.0.0.1:9000"].Requests())
+		isCurrent.Store(false)
+		require.Equal(t, http.StatusOK, f.send(f.gateways[0], read("b")).Code)
+	})
+}
+
+// Guards against a request that waits in the queue although every failure domain with backend
+// servers has been evacuated.
+func TestEvacuationEndsWaitInQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, 1, 1, strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 1000, "queue": {"maxWaitMs": 900}`, 1))
+		defer f.close()
+		f.evacuate()
+		s := f.service()
+		for s.routingSet.Pick(s.now(), nil) != nil {
+		}
+		answered := make(chan response)
+		go func() { answered <- f.send(f.gateways[0], read("a")) }()
+		synctest.Wait()
+		start := time.Now()
+		f.evacuate("zone-0")
+		require.Contains(t, (<-answered).Body.String(), reasonEvacuated)
+		require.Zero(t, time.Since(start))
+	})
+}
+
 // Guards against requests that wait, are handed to peers or are reported as an outage when
 // every failure domain with backend servers is evacuated, and against a service that stays
 // refused afterwards.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -87,6 +87,10 @@
 	// when a backend server starts to drain or a request is quarantined.
 	NotifyPeers func()
 
+	// IsListCurrent reports whether the evacuations of the instance list are up to date. It
+	// returns false after a pause of the process until they have been read. nil: they are.
+	IsListCurrent func() bool
+
 	// dial and dialPeer replace net.Dialer for connections to backend servers and to
 	// peers in tests.
 	dial, dialPeer func(ctx context.Context, address string) (net.Conn, error)
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -88,7 +88,7 @@
 	defer cancel()
 	resp, failure := s.pool.Do(ctx, server.Address(), &transport.Request{
 		Method: http.MethodGet, Target: route.EscapePath(path), Host: server.Address(), Idempotent: true,
-		ExpectedInstance: server.ID(), Probe: true, MayStart: func() bool { return !server.IsEvacuated() },
+		ExpectedInstance: server.ID(), Probe: true, MayStart: func() bool { return s.isListCurrent() && !server.IsEvacuated() },
 	})
 	s.observeReach(server, failure, true)
 	if failure != nil {
--- a/pkg/gateway/select.go
+++ b/pkg/gateway/select.go
@@ -14,11 +14,11 @@
 // pickServer selects a backend server. While none has capacity, it waits in the
 // queue. The refusal is nil on success.
 func (c *call) pickServer(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
+	if c.svc.isEvacuated() {
+		res := refuseEvacuated()
+		return nil, &res
+	}
 	if len(c.svc.routingSet.Servers()) == 0 {
-		if c.svc.routingSet.HasEvacuated() {
-			res := refuseEvacuated()
-			return nil, &res
-		}
 		res := notRunResult(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").withRetryAfter()
 		return nil, &res
 	}
@@ -53,13 +53,15 @@
 func (c *call) admit(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
 	err := c.svc.queue.Admit(ctx, func() bool {
 		server = c.svc.routingSet.Pick(c.g.now(), exclude)
-		return server != nil
+		return server != nil || c.svc.isEvacuated()
 	})
-	if err == nil {
+	if server != nil {
 		return server, nil
 	}
 	var res result
 	switch {
+	case err == nil:
+		res = refuseEvacuated()
 	case errors.Is(err, context.DeadlineExceeded):
 		res = notRunResult(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed in the queue")
 	case errors.Is(err, context.Canceled):
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -44,6 +44,7 @@
 
 	recorder        events.Recorder
 	notifyPeers     func()
+	isListCurrent   func() bool
 	nextHealthCheck time.Duration // used by Gateway.Run only
 	nextReachCheck  time.Duration // used by Gateway.Run only
 	lastAttempt     atomic.Int64  // time of the last attempt
@@ -100,6 +101,7 @@
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
 		recorder:          recorder,
 		notifyPeers:       g.options.NotifyPeers,
+		isListCurrent:     func() bool { return g.options.IsListCurrent == nil || g.options.IsListCurrent() },
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
 		hedgeCounter:      scope.Counter("hedges"),
@@ -209,6 +211,7 @@
 // now: the server is still listed and not evacuated, and has neither begun to leave nor
 // refused another request for some time meanwhile.
 func (s *service) mayStart(server *routing.Server) bool {
+	s.waitForCurrentList()
 	return s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
 }
 
