--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -59,7 +59,7 @@
 			{Address: "10.0.0.2:80", State: "healthy", Weight: 1, Picks: 90},
 		}},
 		ServiceSettings:  map[string]operator.Settings{"varasto": {Service: "varasto", Region: "finland", Version: 3, Values: []operator.Value{{Path: "timeoutMs", Value: "300", Origin: "fleet"}}}},
-		OwnState:         operator.InstanceState{Ready: true, Version: 3, Digest: "aabbccddee", Confirmed: true, Confirmation: "peer", Members: []operator.Member{{Instance: "e-9", Incarnation: "09", Phase: "left"}}},
+		OwnState:         operator.InstanceState{Ready: true, Version: 3, Digest: "aabbccddee", Confirmed: true, Confirmation: "peer", Members: []operator.Member{{Instance: "e-9", Incarnation: "09", Phase: "left"}}, Evacuated: []operator.EvacuatedDomain{{FailureDomain: "a", Backends: 41}}},
 		ActiveDrainMarks: []operator.DrainMark{{Service: "varasto", Address: "10.0.0.2:80", Source: "response", Age: 2 * time.Second}},
 		// The rate is computed by the clock: over 10,000 s, the time that the test takes
 		// does not change its digits.
@@ -120,6 +120,7 @@
 		{"settings", []string{"settings", "varasto"}, 0, []string{"ENTRIES DIFFER: 2", "timeoutMs  300    fleet", "version 2"}},
 		{"settings of an unknown service", []string{"settings", "none"}, 5, nil},
 		{"instances", []string{"instances"}, 0, []string{"NO: unconfirmed", "NO: paused", "version 3 (aabbccdd) is in force at 1 of 2", "e-9"}},
+		{"evacuation", []string{"instances"}, 0, []string{`failure domain "a" is evacuated at 1 of 2 entries that answered, 41 backend servers`}},
 		{"draining", []string{"draining"}, 0, []string{"1s ago", "peer", "2 of 2: e-1, e-2"}},
 		{"measuring", []string{"measuring"}, 0, []string{"50000", "20.00", "25.0%"}},
 		{"audit", []string{"audit"}, 0, []string{"ctl_test_change", "n=2", "e-2: 1 changes have fallen off", "4 changes at 2 entries"}},
--- a/pkg/feed/evacuations_test.go
+++ b/pkg/feed/evacuations_test.go
@@ -238,3 +238,26 @@
 		store.locked(func() { require.Equal(t, 1, store.evacuationCalls) })
 	})
 }
+
+// Guards against an evacuation that an entry learns of only at the end of its start, which
+// takes long over a slow link while it serves already.
+func TestEvacuationDuringSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.pageItems, store.pageDelay = 20, 3*time.Second
+		store.put(firstTreeKey, "tree")
+		store.putRegistrations(200)
+		r := NewReader(Options{Store: store, Translator: textStub{}, Recorder: events.Discard{}})
+		defer r.Close()
+		number, _, err := r.WatchInstances(t.Context(), 0)
+		require.NoError(t, err)
+		time.Sleep(time.Second)
+		store.put(evacuationTestPrefix+"zone", "{}")
+		start := time.Now()
+		_, list, err := r.WatchInstances(t.Context(), number)
+		require.NoError(t, err)
+		require.Less(t, time.Since(start), evacuationBound)
+		require.Equal(t, platform.KindFailureDomain, list[0].Kind)
+		require.Equal(t, Position{}, r.log.lastPosition(), "the start has not ended")
+	})
+}
--- a/pkg/feed/follow.go
+++ b/pkg/feed/follow.go
@@ -155,9 +155,8 @@
 }
 
 // pollRegistrations polls the store for changes of registrations, and reads the evacuations
-// after it. When a relay of a
-// large fleet is slow, all entries that follow it turn to the store at once, and a
-// settings tree in each reply would occupy their links.
+// after it. When a relay of a large fleet is slow, all entries that follow it turn to the
+// store at once, and a settings tree in each reply would occupy their links.
 func (r *Reader) pollRegistrations(pollCtx context.Context, after Position, wait time.Duration) (poll, error) {
 	r.pollsStore.Store(true)
 	r.countCall(CallFallback)
--- a/pkg/feed/late.go
+++ b/pkg/feed/late.go
@@ -111,9 +111,9 @@
 
 // applyAhead applies evacuations that were learned before the changes that precede them,
 // and makes them available to peers. Those of another era than that of the log are left to
-// the next complete read.
+// the next complete read; before the first one, the log has no era.
 func (r *Reader) applyAhead(changes []Change, at Position) {
-	if at.Era != r.log.lastPosition().Era {
+	if last := r.log.lastPosition(); at.Era != last.Era && last != (Position{}) {
 		return
 	}
 	if r.evacuations.apply(changes, time.Now()) {
