--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/feed"
@@ -70,6 +71,7 @@
 			},
 			Instances:  func() int { return e.memberTable.LiveInstances() },
 			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
+			EvacuationBound: dynamic.MillisToDuration(conf.EvacuationMS),
 		})
 		return e.feed
 	})
@@ -111,6 +113,7 @@
 		Peers:           acceptors{e},
 		PeerSecret:      conf.Secrets.Peer,
 		NotifyPeers:     func() { e.memberTable.NotifyPeers() },
+		IsListCurrent:   func() bool { return e.feed == nil || e.feed.IsCurrent() },
 	})
 	e.memberTable = membership.New(membership.Options{
 		Self: &peerpb.Member{
--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -15,6 +15,7 @@
 	backends    tally.Gauge // that this instance uses, including ejected and draining ones
 	ejected     tally.Gauge
 	draining    tally.Gauge
+	evacuated   tally.Gauge // not in backends
 	rateLimited tally.Gauge // that state a rate limit
 	cold        tally.Gauge // that get requests only by permits because they are cold
 	connections tally.Gauge // to backend servers, idle and in use
@@ -24,6 +25,7 @@
 func newGauges(scope tally.Scope) gauges {
 	return gauges{
 		backends: scope.Gauge("backends"), ejected: scope.Gauge("backends_ejected"), draining: scope.Gauge("backends_draining"),
+		evacuated:   scope.Gauge("backends_evacuated"),
 		rateLimited: scope.Gauge("backends_rate_limited"), cold: scope.Gauge("backends_cold"),
 		connections: scope.Gauge("backend_connections"), retryTokens: scope.Gauge("retry_tokens"),
 	}
@@ -35,6 +37,7 @@
 	s.gauges.backends.Update(float64(len(s.routingSet.Servers())))
 	s.gauges.ejected.Update(float64(ejected))
 	s.gauges.draining.Update(float64(draining))
+	s.gauges.evacuated.Update(float64(len(s.routingSet.Evacuated())))
 	s.gauges.rateLimited.Update(float64(len(s.routingSet.RateLimited())))
 	s.gauges.cold.Update(float64(s.routingSet.ColdCount()))
 	s.gauges.connections.Update(float64(s.pool.OpenConnections()))
--- a/pkg/gateway/probe.go
+++ b/pkg/gateway/probe.go
@@ -79,7 +79,7 @@
 // exchangeInternal is sendInternalRequest, on a new connection if so required, and
 // returns the failure. Nothing is sent to a backend server that wants no requests.
 func (s *service) exchangeInternal(ctx context.Context, server *routing.Server, path string, onNewConnection bool) (status int, signals transport.Signals, failure *transport.Failure) {
-	if server.IsBackingOff() {
+	if server.IsBackingOff() || server.IsEvacuated() {
 		return 0, transport.Signals{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, internalRequestTimeout)
@@ -87,6 +87,7 @@
 	resp, failure := s.pool.Do(ctx, server.Address(), &transport.Request{
 		Method: http.MethodGet, Target: route.EscapePath(path), Host: server.Address(), Idempotent: true,
 		ExpectedInstance: server.ID(), Probe: true, NewConnection: onNewConnection,
+		MayStart: func() bool { return s.isListCurrent() && !server.IsEvacuated() },
 	})
 	s.observeReach(server, failure, true)
 	if failure != nil {
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 
 	recorder        events.Recorder
 	notifyPeers     func()
+	isListCurrent   func() bool
 	nextHealthCheck time.Duration // used by Gateway.Run only
 	nextReachCheck  time.Duration // used by Gateway.Run only
 	lastAttempt     atomic.Int64  // time of the last attempt
@@ -99,6 +101,7 @@
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
 		recorder:          recorder,
 		notifyPeers:       g.options.NotifyPeers,
+		isListCurrent:     func() bool { return g.options.IsListCurrent == nil || g.options.IsListCurrent() },
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
 		hedgeCounter:      scope.Counter("hedges"),
@@ -151,13 +154,20 @@
 }
 
 // updateBackends replaces the backend servers by the subset of live that this
-// instance uses. leaving holds the keys of the backend servers that the instance
+// instance uses. The evacuated ones are not used and not counted. leaving holds the keys of the backend servers that the instance
 // list marks as leaving; live includes those without an ID.
-func (s *service) updateBackends(live []routing.Backend, leaving []string) {
+func (s *service) updateBackends(live, evacuated []routing.Backend, leaving []string) {
 	now := s.now()
 	conf := s.settings.Load()
-	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
-	s.routingSet.Update(now, live)
+	selectUsed := func(list []routing.Backend) []routing.Backend {
+		return subset.Select(list, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
+	}
+	if len(evacuated) > 0 {
+		// Those that this instance would use without the evacuation.
+		evacuated = slices.DeleteFunc(slices.Clone(selectUsed(slices.Concat(live, evacuated))), func(b routing.Backend) bool { return !b.IsEvacuated })
+	}
+	live = selectUsed(live)
+	returned := s.routingSet.Update(now, slices.Concat(live, evacuated))
 	keys := make([]string, len(live))
 	for i, b := range live {
 		keys[i] = b.Key()
@@ -166,6 +176,8 @@
 	for _, a := range leaving {
 		s.outliers.MarkDraining(now, a, "list")
 	}
+	s.takeBack(now, returned, len(live)-len(returned))
+	s.withdrawEvacuated()
 	s.pruneConcurrencyLimits()
 	s.updateWeights()
 	s.requestWarmupPermits()
@@ -180,7 +192,7 @@
 // observeSignals records the load report, the rate limit, the remaining warm-up, the
 // backoff and the drain signal of a response.
 func (s *service) observeSignals(server *routing.Server, sig transport.Signals, source string) {
-	if sig.HasReport {
+	if sig.HasReport && !server.IsEvacuated() {
 		server.RecordReport(s.now(), sig.Report, 0)
 	}
 	if !sig.Misdirected && server.SetRateLimit(s.now(), sig.RateLimit) {
@@ -202,9 +214,10 @@
 }
 
 // mayStart reports whether a request that was assigned to a backend server may be sent
-// now: the server is still listed, and has neither begun to leave, refused another
-// request for some time nor turned cold meanwhile.
+// now: the server is still listed and not evacuated, and has neither begun to leave,
+// refused another request for some time nor turned cold meanwhile.
 func (s *service) mayStart(server *routing.Server, assignedAt time.Duration) bool {
+	s.waitForCurrentList()
 	return !server.HasTurnedCold(assignedAt) && s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
 }
 
@@ -248,10 +261,11 @@
 // pruneConcurrencyLimits deletes the limits of backend servers that are no
 // longer listed. Thousands of backend servers are replaced each day.
 func (s *service) pruneConcurrencyLimits() {
+	evacuated := s.routingSet.Evacuated()
 	s.concurrencyLimitsMu.Lock()
 	defer s.concurrencyLimitsMu.Unlock()
 	for server := range s.concurrencyLimits {
-		if s.routingSet.Server(server.Key()) != server {
+		if s.routingSet.Server(server.Key()) != server && !slices.Contains(evacuated, server) {
 			delete(s.concurrencyLimits, server)
 		}
 	}
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -46,6 +46,8 @@
 	soakDrain = 400 * time.Millisecond
 	// soakCold is how long the second backend server is cold at a time.
 	soakCold = 300 * time.Millisecond
+	// soakColdAddress is the address of the second backend server.
+	soakColdAddress = "127.0.0.1:9001"
 )
 
 // soakInstance is an instance that is stopped in an orderly way and started again.
@@ -61,13 +63,78 @@
 // soak is a fleet over loopback sockets in front of backend servers over pipes.
 type soak struct {
 	t         *testing.T
-	backends  [2]*pipe.Backend // the second one turns cold now and then
+	backends  map[string]*pipe.Backend // by address; the first is in zone-0, the second in zone-1 and turns cold now and then
 	issuer    *ratelimit.Issuer
 	colds     []time.Time                // when the second backend server turned cold
 	cut       [soakInstances]atomic.Bool // from all backend servers
 	mu        sync.Mutex
 	instances [soakInstances]*soakInstance
 	acceptors map[string]bool // addresses as the instances know them
+	evacuated bool            // zone-1
+}
+
+// list returns the instance list with the remaining warm-up of the second backend server.
+// s.mu must be held.
+func (s *soak) list(left time.Duration) (out []platform.Instance) {
+	for address := range s.backends {
+		i := platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: address, State: platform.StateLive, FailureDomain: zoneOf(address)}
+		if address == soakColdAddress {
+			i.WarmupRemaining = left
+		}
+		out = append(out, i)
+	}
+	if s.evacuated {
+		out = append(out, platform.Instance{Kind: platform.KindFailureDomain, FailureDomain: "zone-1", State: platform.StateEvacuated})
+	}
+	return out
+}
+
+// setEvacuated begins or ends the evacuation of zone-1 at all instances.
+func (s *soak) setEvacuated(isEvacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = isEvacuated
+	for _, instance := range s.instances {
+		instance.gateway.UpdateInstances(s.list(0))
+	}
+}
+
+// attemptsInEvacuatedZone returns the number of attempts in progress in zone-1.
+func (s *soak) attemptsInEvacuatedZone() (n int32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		for _, server := range instance.gateway.service("shop").routingSet.Evacuated() {
+			n += server.Inflight()
+		}
+	}
+	return n
+}
+
+// evacuateInTurn evacuates zone-1 and takes it back until ctx ends. Once the attempts from
+// before an evacuation have ended, no request may arrive there.
+func (s *soak) evacuateInTurn(ctx context.Context, random *rand.Rand) (evacuations int) {
+	arrivals := func() int { return len(s.backends["127.0.0.1:9001"].Arrivals()) }
+	clock.Sleep(ctx, soakSpan/3) // the other backend server gets requests first
+	for ; clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond); evacuations++ {
+		s.setEvacuated(true)
+		for s.attemptsInEvacuatedZone() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		before := arrivals()
+		clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond)
+		require.Equal(s.t, before, arrivals())
+		s.setEvacuated(false)
+	}
+	return evacuations
+}
+
+// runs returns how often all backend servers ran the request with a token.
+func (s *soak) runs(token string) (n int) {
+	for _, b := range s.backends {
+		n += b.Runs(token)
+	}
+	return n
 }
 
 // start starts instance i on the addresses that it had before, if any.
@@ -92,16 +159,16 @@
 			if s.cut[i].Load() {
 				return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 			}
-			return s.backends[slices.Index(soakAddresses, address)].DialFrom(i)
+			return s.backends[address].DialFrom(i)
 		},
 	})
 	tree := strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 5000, "requireKey": false`, 1)
 	tree = coldTree(tree)
 	require.Equal(s.t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
-	g.UpdateInstances(soakList(0))
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	g.UpdateInstances(s.list(0))
 	previous := s.instances[i]
 	if previous == nil {
 		previous = &soakInstance{callerAddress: "127.0.0.1:0", requestsAddress: "127.0.0.1:0"}
@@ -119,33 +186,17 @@
 	s.announce(instance.requestsAddress, true)
 }
 
-// soakAddresses are the addresses of the backend servers.
-var soakAddresses = []string{"127.0.0.1:9000", "127.0.0.1:9001"}
-
-// soakList returns the instance list with the remaining warm-up of the second backend
-// server.
-func soakList(left time.Duration) (list []platform.Instance) {
-	for _, address := range soakAddresses {
-		list = append(list, platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: address, State: platform.StateLive})
-	}
-	list[1].WarmupRemaining = left
-	return list
-}
-
 // turnCold makes the second backend server cold for soakCold.
 func (s *soak) turnCold() {
-	s.backends[1].TurnCold(soakCold)
+	s.backends[soakColdAddress].TurnCold(soakCold)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, instance := range s.instances {
-		instance.gateway.UpdateInstances(soakList(soakCold))
+		instance.gateway.UpdateInstances(s.list(soakCold))
 	}
 	s.colds = append(s.colds, time.Now())
 }
 
-// runs returns how often the request with the token ran.
-func (s *soak) runs(token string) int { return s.backends[0].Runs(token) + s.backends[1].Runs(token) }
-
 func (s *soak) listen(address string) net.Listener {
 	l, err := net.Listen("tcp", address)
 	require.NoError(s.t, err)
@@ -246,7 +297,8 @@
 
 // Guards against orders that are lost, run twice or reported wrongly because the peers to
 // which they are handed are stopped and started, one after another and two at once, while
-// callers keep using their open connections.
+// callers keep using their open connections; and against orders that are sent to a failure
+// domain that is evacuated meanwhile, and taken back.
 func TestPeersRestartWhileRequestsAreHandedToThem(t *testing.T) {
 	seeds := 1
 	if text := os.Getenv(soakSeedsVariable); text != "" {
@@ -260,7 +312,7 @@
 }
 
 func playSoak(t *testing.T, random *rand.Rand) {
-	s := &soak{t: t, backends: [2]*pipe.Backend{pipe.New(), pipe.New()}, acceptors: map[string]bool{}}
+	s := &soak{t: t, backends: map[string]*pipe.Backend{"127.0.0.1:9000": pipe.New(), "127.0.0.1:9001": pipe.New()}, acceptors: map[string]bool{}}
 	for _, b := range s.backends {
 		defer b.Close()
 	}
@@ -273,6 +325,8 @@
 	var work sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), soakSpan)
 	defer cancel()
+	evacuations, evacuationRandom := 0, rand.New(rand.NewPCG(random.Uint64(), 0))
+	work.Go(func() { evacuations = s.evacuateInTurn(ctx, evacuationRandom) })
 	for caller := range 8 {
 		work.Go(func() {
 			client := &http.Client{Timeout: soakTimeout}
@@ -302,10 +356,12 @@
 		s.shutDown(i)
 	}
 	for _, since := range s.colds {
-		arrivals := slices.DeleteFunc(s.backends[1].Arrivals(), func(at time.Time) bool { return at.Before(since) || at.Sub(since) >= soakCold })
+		arrivals := slices.DeleteFunc(s.backends[soakColdAddress].Arrivals(), func(at time.Time) bool { return at.Before(since) || at.Sub(since) >= soakCold })
 		require.LessOrEqual(t, len(arrivals), maxColdRequests, "a cold backend server")
 	}
 	t.Logf("served %d, refused as not run %d, unknown %d, broken %d", counts.served.Load(), counts.refused.Load(), counts.unknown.Load(), counts.broken.Load())
+	require.Positive(t, evacuations)
+	require.NotEmpty(t, s.backends["127.0.0.1:9001"].Arrivals())
 	require.Zero(t, counts.unknown.Load(), "only peers that shut down in an orderly way are involved")
 	require.Zero(t, counts.broken.Load())
 	require.Greater(t, counts.served.Load(), counts.refused.Load())
--- a/pkg/routing/warmup.go
+++ b/pkg/routing/warmup.go
@@ -19,7 +19,7 @@
 		return
 	}
 	s.warmup.Store(&next)
-	for _, srv := range s.Servers() {
+	for _, srv := range append(s.Evacuated(), s.Servers()...) {
 		srv.LimitWarmup(now, perSecond, longest)
 	}
 }
