Evacuation: end the hold of a restored store also while it is reloaded

Cause: an evacuation that a restored store lacks stayed in force as long as each poll of the store asked for everything again, because only a poll ended the hold. TestEntriesConvergeAfterFaults found it once it wrote evacuations.

--- a/pkg/feed/evacuations.go
+++ b/pkg/feed/evacuations.go
@@ -92,8 +92,9 @@
 }
 
 // replace replaces all evacuations by those of a snapshot as of a position. Evacuations
-// that began later stay in force.
+// that began later, or whose hold has not ended, stay in force.
 func (l *evacuations) replace(snapshot map[string]Change, at Position, now time.Time) {
+	l.endHolds(now)
 	var keys []Change
 	for key, c := range snapshot {
 		if l.translator.Kind(key) == Evacuation {
--- a/pkg/feed/feed_test.go
+++ b/pkg/feed/feed_test.go
@@ -263,7 +263,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		type step struct{ action, n int }
 		steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
-			return step{rapid.IntRange(0, 9).Draw(t, "what"), rapid.IntRange(0, 4).Draw(t, "n")}
+			return step{rapid.IntRange(0, 11).Draw(t, "what"), rapid.IntRange(0, 4).Draw(t, "n")}
 		}), 1, 30).Draw(rt, "steps")
 		var divergence error
 		synctest.Test(t, func(*testing.T) {
@@ -297,13 +297,17 @@
 					if version > 0 { // the operator writes the newest version again
 						f.store.put("tree", fmt.Sprintf("%0*d", version, 0))
 					}
+				case 10:
+					f.store.put(fmt.Sprintf("%szone-%d", evacuationTestPrefix, s.n), "{}")
+				case 11:
+					f.store.remove(fmt.Sprintf("%szone-%d", evacuationTestPrefix, s.n))
 				}
 			}
 			f.store.locked(func() { f.store.unavailable, f.store.missesChanges = false, false })
 			for i := range f.readers {
 				f.setFrozen(i, false)
 			}
-			time.Sleep(2*storePollWait + expiredHoldTime + recentFailureWindow + withholdTime)
+			time.Sleep(2*storePollWait + expiredHoldTime + recentFailureWindow + withholdTime + restoredHoldTime)
 			divergence = f.checkConverged()
 		})
 		require.NoError(rt, divergence)
