Feed: read evacuations apart only where a bound is stated

Cause: the extra reads of late evacuations and of a first page without them cost calls to the store in deployments that state no bound for evacuations. Change: without a bound, evacuations come with complete polls only.

--- a/pkg/feed/fleet_test.go
+++ b/pkg/feed/fleet_test.go
@@ -337,6 +337,7 @@
 			Store: entryStore{f.store, f, i}, Translator: translator(f.processors[i]), Recorder: events.Discard{}, PeerClient: fleetPeers{f, all[i].down},
 			Relays:    func(skip func(string) bool) ([]string, bool) { return relays(i, skip) },
 			Instances: func() int { return n }, FirstStart: firstStart, TreeInForce: f.treeInForce,
+			EvacuationBound: evacuationBound,
 		}))
 	}
 	for i, r := range f.readers {
--- a/pkg/feed/late.go
+++ b/pkg/feed/late.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -10,12 +9,8 @@
 )
 
 const (
-	// defaultEvacuationBound is the time in which an evacuation must take effect. After half
-	// of it without a complete poll the evacuations are read apart: a poll is held up, for
-	// example by a large settings tree. Half of the default is longer than the usual time
-	// between two polls of the store; minEvacuationReadDelay bounds the calls to the store
-	// where the bound is short.
-	defaultEvacuationBound = 5 * time.Second
+	// minEvacuationReadDelay bounds the calls to the store where evacuations must take effect
+	// within a short time.
 	minEvacuationReadDelay = time.Second
 	// evacuationReadInterval is the time between two such reads, and lateCheckInterval how
 	// often the age of the last complete poll is checked.
@@ -29,6 +24,9 @@
 
 // readLateEvacuations reads the evacuations apart while no poll completes.
 func (r *Reader) readLateEvacuations() {
+	if !r.readsEvacuationsApart() {
+		return
+	}
 	hasFailed := false
 	for wait := lateCheckInterval; clock.Sleep(r.ctx, wait); {
 		wait = lateCheckInterval
@@ -50,24 +48,25 @@
 	}
 }
 
-// evacuationBound returns the time in which an evacuation must take effect.
-func (r *Reader) evacuationBound() time.Duration {
-	return cmp.Or(r.options.EvacuationBound, defaultEvacuationBound)
-}
+// readsEvacuationsApart reports whether evacuations are read apart where they would be late.
+func (r *Reader) readsEvacuationsApart() bool { return r.options.EvacuationBound > 0 }
 
 // evacuationReadDelay returns the time since the last complete poll after which the
-// evacuations are read apart.
+// evacuations are read apart: a poll is held up, for example by a large settings tree.
 func (r *Reader) evacuationReadDelay() time.Duration {
-	return max(minEvacuationReadDelay, r.evacuationBound()/2)
+	return max(minEvacuationReadDelay, r.options.EvacuationBound/2)
 }
 
 // IsCurrent reports whether this entry has read the evacuations, or has failed to, within
 // the time in which one must take effect. It returns false only after the process has not
 // run for some time, until the next read ends.
 func (r *Reader) IsCurrent() bool {
+	if !r.readsEvacuationsApart() {
+		return true
+	}
 	last := max(r.lastComplete.Load(), r.lastSeparate.Load())
 	slowest := r.evacuationReadDelay() + 2*lateCheckInterval + evacuationReadTimeout + evacuationReadInterval
-	return time.Since(time.Unix(0, last)) < max(slowest, r.evacuationBound())
+	return time.Since(time.Unix(0, last)) < max(slowest, r.options.EvacuationBound)
 }
 
 // readEvacuations reads the keys of evacuations from the store, at most
@@ -94,8 +93,11 @@
 
 // evacuationsTo reads the evacuations and returns the changes that lead to them. The store
 // had reached the given position before. The error is ErrHistoryLost if the store was
-// restored since.
+// restored since. Evacuations that are not read apart come with the next complete poll.
 func (r *Reader) evacuationsTo(to Position) ([]Change, error) {
+	if !r.readsEvacuationsApart() {
+		return nil, nil
+	}
 	p, err := r.readEvacuations(storePollWait)
 	if err != nil {
 		return nil, err
--- a/pkg/feed/reader.go
+++ b/pkg/feed/reader.go
@@ -128,8 +128,9 @@
 	// TreeInForce returns the version of the settings tree in force, which may
 	// have come from a peer; 0: none. nil: trees do not come from peers.
 	TreeInForce func() uint64
-	// EvacuationBound is the time in which an evacuation must take effect; 0: 5 s. After
-	// half of it without a complete poll the evacuations are read apart.
+	// EvacuationBound is the time in which an evacuation must take effect. After half of
+	// it without a complete poll the evacuations are read apart. 0: not stated; they are
+	// read with everything else only, which costs no further calls to the store.
 	EvacuationBound time.Duration
 }
 
--- a/pkg/feed/snapshot.go
+++ b/pkg/feed/snapshot.go
@@ -106,7 +106,7 @@
 // fill it.
 func (r *Reader) readFirstEvacuations(first []Change) error {
 	now := time.Now()
-	if n := len(first); n == 0 || r.options.Translator.Kind(first[n-1].Key) != Registration {
+	if n := len(first); r.readsEvacuationsApart() && (n == 0 || r.options.Translator.Kind(first[n-1].Key) != Registration) {
 		p, err := r.readEvacuations(relayLoadTimeout)
 		if err != nil {
 			return err
