limit: WaitList ordered by rank, with aging and displacement

Cause: the queue of a service is FIFO, so that urgent requests wait behind archive work. Join and Admit keep their order and errors.

--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -11,12 +11,15 @@
 // information about the new limit. After a decrease, as many results as the limit
 // before it therefore cannot decrease it again.
 //
-// WaitList is a bounded FIFO queue of the requests that wait for a backend server;
-// the code that calls it passes the time in. WaitList rejects a request on arrival if
+// WaitList is a bounded queue of the requests that wait for a backend server;
+// the code that calls it passes the time in. Requests without a rank are served first in,
+// first out. Ranked requests are ordered by rank, then by the time until their latest
+// start; a waiter moves up one rank for each agingStep, and a more urgent arrival
+// displaces the least urgent waiter of a full queue. WaitList rejects a request on arrival if
 // the queue is full, or if the rate of recent starts shows that the request cannot
 // start before its deadline. Queue adds goroutines and timers to a WaitList. Only the
-// oldest waiter is ever woken: it tries to start, and wakes the next waiter when it
-// leaves. A wake-up that arrives while the queue is empty has no effect and is not
+// head (without ranks the oldest waiter) is ever woken: it tries to start, and wakes the
+// next waiter when it leaves. A wake-up that arrives while the queue is empty has no effect and is not
 // needed, because a waiter always tries once when it becomes the oldest.
 //
 // State: local to this instance, lost at process exit. Messages: none.
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -45,10 +45,33 @@
 	if q.waitingCount.Load() == 0 && try() {
 		return nil
 	}
-	return q.wait(ctx, try)
+	return q.wait(ctx, nil, try)
 }
 
-// Wake lets the oldest request try again. It must be called when an attempt has
+// AdmitRanked is Admit for a request that waits among others by its rank. The error may
+// also be ErrDisplaced.
+func (q *Queue) AdmitRanked(ctx context.Context, r Ranked, try func() bool) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if q.waitingCount.Load() == 0 && try() {
+		return nil
+	}
+	return q.wait(ctx, &r, try)
+}
+
+// ExpectedWait returns the expected wait of a request that joins at the end of the queue
+// now, or false if it is unknown.
+func (q *Queue) ExpectedWait() (time.Duration, bool) {
+	if q.waitingCount.Load() == 0 {
+		return 0, false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waitList.ExpectedWait()
+}
+
+// Wake lets the head of the queue try again. It must be called when an attempt has
 // completed and after any other change that may free a slot: a new backend server, a
 // higher limit or weight. It does not block.
 func (q *Queue) Wake() {
@@ -60,34 +83,33 @@
 	q.signal()
 }
 
-func (q *Queue) wait(ctx context.Context, try func() bool) error {
-	var deadline time.Duration
-	if d, ok := ctx.Deadline(); ok {
-		deadline = max(1, d.Sub(q.start))
-	}
-	w := &Waiter{signal: make(chan struct{}, 1)}
-	q.mu.Lock()
-	now := q.now()
-	if err := q.waitList.Join(now, deadline, w); err != nil {
-		q.mu.Unlock()
+// wait joins the queue and returns when the request has started or is refused. r is nil
+// for a request without a rank.
+func (q *Queue) wait(ctx context.Context, r *Ranked, try func() bool) error {
+	w := &Waiter{signal: make(chan struct{}, 1), evicted: make(chan struct{})}
+	if err := q.join(ctx, r, w); err != nil {
 		return err
 	}
-	q.waitingCount.Add(1)
-	if q.waitList.Head() == w {
-		q.signal()
-	}
-	q.mu.Unlock()
-
-	timer := time.NewTimer(w.Deadline - now)
+	timer := time.NewTimer(q.untilNextCheck(r, w))
 	defer timer.Stop()
 	for {
 		select {
 		case <-w.signal:
-			if try() {
+			if q.isHead(w) && try() {
 				q.leave(w, true)
 				return nil
 			}
+		case <-w.evicted:
+			return ErrDisplaced
 		case <-timer.C:
+			if r != nil && q.mayContinue(w, r) {
+				if q.isHead(w) && try() {
+					q.leave(w, true)
+					return nil
+				}
+				timer.Reset(q.untilNextCheck(r, w))
+				continue
+			}
 			q.leave(w, false)
 			if err := ctx.Err(); err != nil {
 				return err
@@ -100,21 +122,92 @@
 	}
 }
 
-// leave removes w and wakes the next waiter if w was the oldest. It does so even if
+// join adds w to the queue and refuses the waiter that it displaces, if any.
+func (q *Queue) join(ctx context.Context, r *Ranked, w *Waiter) error {
+	var deadline time.Duration
+	if d, ok := ctx.Deadline(); ok {
+		deadline = max(1, d.Sub(q.start))
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if r == nil {
+		if err := q.waitList.Join(q.now(), deadline, w); err != nil {
+			return err
+		}
+	} else {
+		displaced, err := q.waitList.JoinRanked(q.now(), deadline, *r, w)
+		if err != nil {
+			return err
+		}
+		if displaced != nil {
+			q.waitingCount.Add(-1)
+			close(displaced.evicted)
+		}
+	}
+	q.waitingCount.Add(1)
+	if q.waitList.Head() == w {
+		q.signal()
+	}
+	return nil
+}
+
+// untilNextCheck returns the time until a waiter is refused, reviewed or tries again
+// without a wake-up, whichever comes first.
+func (q *Queue) untilNextCheck(r *Ranked, w *Waiter) time.Duration {
+	now := q.now()
+	left := w.Deadline - now
+	if r != nil && r.Retry > 0 {
+		left = min(left, r.Retry)
+	}
+	if r != nil && now < w.joined+r.Hold {
+		left = min(left, w.joined+r.Hold-now)
+	}
+	return max(0, left)
+}
+
+// mayContinue reports whether a ranked waiter may go on waiting.
+func (q *Queue) mayContinue(w *Waiter, r *Ranked) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waitList.MayContinue(q.now(), w, r.Hold)
+}
+
+// isHead reports whether w is the head of the queue. Otherwise it wakes the head, because
+// w may have used up a wake-up that it received as the head.
+func (q *Queue) isHead(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !w.queued || q.waitList.HeadAt(q.now()) == w {
+		return w.queued
+	}
+	q.signal()
+	return false
+}
+
+// leave removes w and wakes the next waiter if w was the head. It does so even if
 // w did not start, because w may have received a wake-up that it did not use.
 func (q *Queue) leave(w *Waiter, started bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !w.queued {
+		return // displaced
+	}
 	q.waitingCount.Add(-1)
-	if q.waitList.Leave(q.now(), w, started) {
+	wasHead := q.waitList.Leave(q.now(), w, started)
+	select {
+	case <-w.signal:
+		wasHead = true // a wake-up from when it was the head
+	default:
+	}
+	if wasHead {
 		q.signal()
 	}
 }
 
-// signal wakes the oldest waiter. One pending wake-up is sufficient, because the
-// waiter wakes the next one when it leaves.
+// signal wakes the head. One pending wake-up is sufficient, because the waiter wakes the
+// next one when it leaves.
 func (q *Queue) signal() {
-	if w := q.waitList.Head(); w != nil {
+	if w := q.waitList.HeadAt(q.now()); w != nil {
 		select {
 		case w.signal <- struct{}{}:
 		default:
--- a/pkg/limit/waitlist.go
+++ b/pkg/limit/waitlist.go
@@ -15,6 +15,9 @@
 	// recent starts shows that the request would not start before it.
 	// errors.Is(ErrWaitTooLong, ErrTimeout) is true.
 	ErrWaitTooLong = errors.Wrap(ErrTimeout, "shed on arrival")
+	// ErrDisplaced is returned to a waiter whose place in a full queue a more urgent
+	// request has taken. errors.Is(ErrDisplaced, ErrQueueFull) is true.
+	ErrDisplaced = errors.Wrap(ErrQueueFull, "displaced by a more urgent request")
 )
 
 const (
@@ -27,18 +30,25 @@
 // Waiter is one request in a WaitList. The zero value is ready for Join.
 type Waiter struct {
 	Deadline time.Duration // latest start; set by Join
+	rank     int
+	order    time.Duration // within the rank: the time of arrival or, if ranked, the latest start
+	joined   time.Duration
 	prev     *Waiter
 	next     *Waiter
 	queued   bool
 	signal   chan struct{} // used by Queue only
+	evicted  chan struct{} // used by Queue only
 }
 
-// WaitList is a bounded FIFO queue of waiters. Times are durations on the clock of
-// the calling code. It is not safe for concurrent use.
+// WaitList is a bounded queue of waiters, ordered by rank (see ranked.go). Waiters that
+// call Join have the same rank, so that a queue of these is FIFO. Times are durations on
+// the clock of the calling code. It is not safe for concurrent use.
 type WaitList struct {
 	maxRequests   int
 	maxWait       time.Duration
-	head, tail    *Waiter
+	ranks         [maxRanks]rankList
+	startShares   [maxRanks]float64 // smoothed share of the starts that are of each rank
+	lastNow       time.Duration     // latest time that was passed in
 	length        int
 	interval      float64       // smoothed time between starts while the queue is not empty, in nanoseconds
 	samples       int           // number of samples in interval, up to minIntervalSamples
@@ -60,22 +70,27 @@
 // Len returns the number of waiters.
 func (l *WaitList) Len() int { return l.length }
 
-// Head returns the oldest waiter, or nil.
-func (l *WaitList) Head() *Waiter { return l.head }
+// Head returns the waiter that starts next, or nil: without ranks the oldest.
+func (l *WaitList) Head() *Waiter {
+	var head *Waiter
+	for i := range l.ranks {
+		if w := l.ranks[i].first; w != nil && (head == nil || l.precedes(w, head)) {
+			head = w
+		}
+	}
+	return head
+}
 
-// ExpectedWait returns the expected wait of a request that joins now, or false if it
-// is unknown. It is always unknown for an empty queue; otherwise an interval measured
-// in an outage would cause rejections forever.
+// ExpectedWait returns the expected wait of a request that joins at the end now, or false
+// if it is unknown. It is always unknown for an empty queue; otherwise an interval
+// measured in an outage would cause rejections forever.
 func (l *WaitList) ExpectedWait() (time.Duration, bool) {
-	if l.length == 0 || l.samples < minIntervalSamples {
-		return 0, false
-	}
-	return time.Duration(l.interval * float64(l.length+1)), true
+	return l.expectedWait(l.length, 0)
 }
 
-// Join adds w at the end. deadline is the latest start that the request permits (0:
-// none); the maximum wait applies as well. The error is ErrQueueFull or
-// ErrWaitTooLong.
+// Join adds w at the end of the most urgent rank. deadline is the latest start that the
+// request permits (0: none); the maximum wait applies as well. The error is ErrQueueFull
+// or ErrWaitTooLong.
 func (l *WaitList) Join(now time.Duration, deadline time.Duration, w *Waiter) error {
 	if l.length >= l.maxRequests {
 		return ErrQueueFull
@@ -87,40 +102,45 @@
 	if expected, ok := l.ExpectedWait(); w.Deadline <= now || ok && now+expected > w.Deadline {
 		return ErrWaitTooLong
 	}
+	w.rank, w.order = 0, now
+	l.insert(now, w)
+	return nil
+}
+
+// insert adds w to the waiters of its rank.
+func (l *WaitList) insert(now time.Duration, w *Waiter) {
+	l.lastNow = max(l.lastNow, now)
 	if l.length == 0 {
-		l.head, l.intervalStart = w, now
-	} else {
-		l.tail.next, w.prev = w, l.tail
+		l.intervalStart = now
 	}
-	l.tail, w.queued = w, true
+	w.joined, w.queued = now, true
+	l.ranks[w.rank].insert(w)
 	l.length++
-	return nil
 }
 
 // Leave removes w. started tells whether the request was assigned a backend server.
-// Leave reports whether another waiter became the oldest. A second call for the same
-// waiter has no effect.
+// Leave reports whether w was the head and another waiter has become the head. A second
+// call for the same waiter has no effect.
 func (l *WaitList) Leave(now time.Duration, w *Waiter, started bool) bool {
+	l.lastNow = max(l.lastNow, now)
 	if !w.queued {
 		return false
 	}
-	if started || w == l.head && float64(now-l.intervalStart) > l.interval {
+	wasHead := w == l.Head()
+	if started || wasHead && float64(now-l.intervalStart) > l.interval {
 		l.recordInterval(now)
 	}
-	wasHead := w == l.head
-	if w.prev != nil {
-		w.prev.next = w.next
-	} else {
-		l.head = w.next
-	}
-	if w.next != nil {
-		w.next.prev = w.prev
-	} else {
-		l.tail = w.prev
+	if started {
+		l.recordStart(w.rank)
 	}
-	w.prev, w.next, w.queued = nil, nil, false
+	l.remove(w)
+	return wasHead && l.length > 0
+}
+
+func (l *WaitList) remove(w *Waiter) {
+	l.ranks[w.rank].remove(w)
+	w.queued = false
 	l.length--
-	return wasHead && l.head != nil
 }
 
 func (l *WaitList) recordInterval(now time.Duration) {
