routing: a selection that leaves headroom; settings of admission by priority

Cause: policies select a backend server up to the same load for every request. Change: Set.PickWithHeadroom compares the selected server's cost (fresh) or occupancy (other policies) with the highest one less a share; settings admission.byPriority, headroomRatio and maxWaitRatio with defaults and bounds. lentilpinctl check counts three more built-in values (64 instead of 61), which its test states.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -18,6 +18,7 @@
 
 	Keys        Keys        `json:"keys"`
 	Queue       Queue       `json:"queue"`
+	Admission   Admission   `json:"admission"`
 	Connections Connections `json:"connections"`
 	Routing     Routing     `json:"routing"`
 	Measuring   Measuring   `json:"measuring"`
@@ -48,6 +49,19 @@
 	AdaptiveLimit bool `json:"adaptiveLimit"`
 }
 
+// Admission holds the settings of admission by priority. They have an effect only where
+// the routes of a service state different priorities.
+type Admission struct {
+	ByPriority bool `json:"byPriority"` // default true
+	// HeadroomRatio is the share of a backend server's range of load, up to
+	// Routing.MaxLatencyRatio, that the least urgent requests leave to more urgent ones;
+	// default 0.7.
+	HeadroomRatio float64 `json:"headroomRatio"`
+	// MaxWaitRatio is the longest wait in the queue as a share of the time to the
+	// deadline; default 0.5. Queue.MaxWaitMS is allowed in any case.
+	MaxWaitRatio float64 `json:"maxWaitRatio"`
+}
+
 // Connections holds the settings of connections to backend servers.
 type Connections struct {
 	PerBackend int `json:"perBackend"` // default 250; connections to one backend server, summed over all entries
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -264,7 +264,7 @@
 		code int
 		want []string
 	}{
-		{"valid tree", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "61", "region/r/service/varasto"}},
+		{"valid tree", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "64", "region/r/service/varasto"}},
 		{"violated rule", []string{"check", invalid}, 2, []string{"/regions/r/services/maksu/timeoutMs", "0", "minimum"}},
 		{"not JSON", []string{"check", malformed}, 2, []string{"parse JSON"}},
 		{"missing file", []string{"check", dir + "/none"}, 1, []string{"no such file"}},
--- a/pkg/routing/configure.go
+++ b/pkg/routing/configure.go
@@ -26,6 +26,7 @@
 	probeListener   server.ProbeListener        // nil: the policy does not store probe replies
 	querier         server.LoadQuerier          // nil: the policy sends no load queries
 	capacityChecker server.SpareCapacityChecker // nil: the policy does not estimate spare capacity
+	headroomChecker server.HeadroomChecker      // nil: the policy does not estimate headroom
 }
 
 // errorLatency returns the minimum latency that a failed attempt contributes to
@@ -55,6 +56,7 @@
 	next.probeListener, _ = next.policy.(server.ProbeListener)
 	next.querier, _ = next.policy.(server.LoadQuerier)
 	next.capacityChecker, _ = next.policy.(server.SpareCapacityChecker)
+	next.headroomChecker, _ = next.policy.(server.HeadroomChecker)
 	s.stats.SetErrorLatency(errorLatency(settings))
 	s.settings.Store(next)
 	if old != nil && old.settings.ConnectionsPerInstance() != settings.ConnectionsPerInstance() {
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -22,6 +22,11 @@
 // a permit for it (Server.GrantPermit), which the next attempt uses. Package
 // ratelimit obtains the permits.
 //
+// A request that leaves headroom to more urgent ones (Set.PickWithHeadroom, package
+// admission) gets a backend server only if a share of its range of load stays free: by
+// the cost that the policy estimates (server.HeadroomChecker), otherwise by the reported
+// occupancy.
+//
 // Load reports arrive with ordinary responses and with replies to load queries
 // (Server.RecordReport), and with replies to probes (Set.RecordProbeReply).
 //
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -146,6 +146,10 @@
 // Pick selects a backend server that is not in exclude and counts the attempt as
 // in flight. It returns nil if no backend server has capacity.
 func (s *Set) Pick(now time.Duration, exclude []*Server) *Server {
+	return s.pick(now, exclude, 0)
+}
+
+func (s *Set) pick(now time.Duration, exclude []*Server, headroom float64) *Server {
 	src := s.lockRandSource()
 	defer src.mu.Unlock()
 	l, st := s.list.Load(), s.settings.Load()
@@ -154,14 +158,14 @@
 	}
 	for range maxPickTries {
 		srv := st.policy.Choose(now, l, src.rand, exclude)
-		if srv == nil {
+		if srv == nil || !st.leavesHeadroom(now, srv, headroom) {
 			return nil
 		}
 		if s.begin(srv) {
 			return srv
 		}
 	}
-	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && s.begin(srv) {
+	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && st.leavesHeadroom(now, srv, headroom) && s.begin(srv) {
 		return srv
 	}
 	return nil
