gateway: requests are admitted by rank where the routes of a service differ in priority

Cause: while a service has too little capacity, whoever comes first gets a slot. Change: each settings tree gives a service the ranks of its routes. A ranked request leaves the headroom of its rank when a backend server is selected, waits by rank as long as its target latency permits, and is refused as not run (outranked, displaced or overloaded) with a Retry-After spread over the rest of its caller's time. Requests handed to peers carry priority and target latency. Metric admission_decisions by rank and result, events 6030 and 6031, the decision in the request record, in explain and in lentilpinctl request.

--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -51,6 +51,15 @@
 	Slowdown     float64 `json:"slowdown,omitempty"` // 1: normal speed; 0: not reported
 }
 
+// Admission describes the last decision whether a request is admitted by its rank.
+type Admission struct {
+	Priority      int     `json:"priority"`  // of the route
+	Rank          int     `json:"rank"`      // number of more urgent priorities of the service
+	HeadroomRatio float64 `json:"headroom"`  // share of a backend server's range of load left to more urgent requests
+	Occupancy     float64 `json:"occupancy"` // mean reported requests for each slot
+	WaitedMS      float64 `json:"waited_ms"`
+}
+
 // Record describes one completed request.
 type Record struct {
 	RequestID string        `json:"request_id"`
@@ -63,6 +72,7 @@
 	Status    int           `json:"status"`
 	Attempts  []Attempt     `json:"attempts"`            // retained by the log; must not be modified afterwards
 	HandedOn  bool          `json:"handed_on,omitempty"` // by a peer, which counts the request
+	Admission *Admission    `json:"admission,omitempty"` // of the last attempt; nil: requests of the service have no ranks
 	Start     time.Time     `json:"start"`
 	Duration  time.Duration `json:"duration_ns"`
 }
--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -24,22 +24,23 @@
 // of several entries. Text before the JSON object, such as the name of the
 // instance, is kept in prefix.
 type logLine struct {
-	Event     int             `json:"event"`
-	Name      string          `json:"name"`
-	Text      string          `json:"msg"`
-	Time      time.Time       `json:"time"`
-	RequestID string          `json:"request_id"`
-	Service   string          `json:"service"`
-	Route     string          `json:"route"`
-	Version   uint64          `json:"version"`
-	Outcome   string          `json:"outcome"`
-	Run       string          `json:"run"`
-	Reason    string          `json:"reason"`
-	Status    int             `json:"status"`
-	Duration  float64         `json:"duration_ms"`
-	Deadline  float64         `json:"deadline_ms"`
-	Attempts  []audit.Attempt `json:"attempts"`
-	Address   string          `json:"address"`
+	Event     int              `json:"event"`
+	Name      string           `json:"name"`
+	Text      string           `json:"msg"`
+	Time      time.Time        `json:"time"`
+	RequestID string           `json:"request_id"`
+	Service   string           `json:"service"`
+	Route     string           `json:"route"`
+	Version   uint64           `json:"version"`
+	Outcome   string           `json:"outcome"`
+	Run       string           `json:"run"`
+	Reason    string           `json:"reason"`
+	Status    int              `json:"status"`
+	Duration  float64          `json:"duration_ms"`
+	Deadline  float64          `json:"deadline_ms"`
+	Attempts  []audit.Attempt  `json:"attempts"`
+	Admission *audit.Admission `json:"admission,omitempty"`
+	Address   string           `json:"address"`
 	prefix    string
 }
 
@@ -171,6 +172,9 @@
 		printLine(w, "  service %s, route %s, settings version %d", l.Service, l.Route, l.Version)
 		printLine(w, "  outcome %s, run %s, status %d, reason %s", l.Outcome, l.Run, l.Status, cmp.Or(l.Reason, "-"))
 		printLine(w, "  took %.1f ms of %.1f ms", l.Duration, l.Deadline)
+		if l.Admission != nil {
+			printLine(w, "  %s", describeAdmission(l.Admission))
+		}
 		for i, a := range l.Attempts {
 			printLine(w, "  attempt %d at %.1f ms to %s in %s: %s after %.1f ms; %s", i+1, milliseconds(a.Offset), a.Backend, a.FailureDomain, a.Result, milliseconds(a.Duration), describeBackendState(a.BackendState))
 		}
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -38,6 +38,9 @@
 		printLine(w, "request %s at %s", r.RequestID, reply.entryName())
 		printLine(w, "  service %s, method %s, started %s UTC, took %s", orDash(r.Service), r.Method, formatTime(r.Start), formatDuration(r.Duration))
 		printLine(w, "  outcome %s, run %s, status %d, reason %s, key %s", r.Outcome, r.Run, r.Status, orDash(r.Reason), orDash(r.KeyState))
+		if r.Admission != nil {
+			printLine(w, "  %s", describeAdmission(r.Admission))
+		}
 		if len(r.Attempts) == 0 {
 			printLine(w, "  no attempt was sent to a backend server")
 			continue
@@ -49,6 +52,13 @@
 	}
 }
 
+// describeAdmission describes the decision by which a request was admitted or refused
+// among requests of other ranks.
+func describeAdmission(a *audit.Admission) string {
+	return fmt.Sprintf("priority %d, rank %d: waited %.1f ms; %.0f%% of a backend server's load left to more urgent requests at %.1f requests for each slot",
+		a.Priority, a.Rank, a.WaitedMS, 100*a.HeadroomRatio, a.Occupancy)
+}
+
 func showRefusals(w *tabwriter.Writer, replies refusalReplies) {
 	type row struct {
 		audit.RefusalCount
--- a/pkg/gateway/caller_config.go
+++ b/pkg/gateway/caller_config.go
@@ -16,9 +16,12 @@
 const millisPerSecond = 1000
 
 // retryAfter returns the value of the Retry-After field in seconds, rounded up
-// unless fractions are enabled: the setting or, if longer, least.
-func (r *callerConfig) retryAfter(least time.Duration) string {
-	ms := max(r.RetryAfterMS, int(least.Milliseconds()))
+// unless fractions are enabled: the setting or, if longer or exact, value.
+func (r *callerConfig) retryAfter(value time.Duration, isExact bool) string {
+	ms := int(value.Milliseconds())
+	if !isExact {
+		ms = max(r.RetryAfterMS, ms)
+	}
 	if r.FractionalRetryAfter {
 		return strconv.FormatFloat(float64(ms)/millisPerSecond, 'f', 3, 64)
 	}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -12,6 +12,8 @@
 	eventRateLimitChanged     = events.NewChange(6004, logrus.InfoLevel, "rate_limit_changed", "a backend server has stated another rate limit for all instances together, or none any more")
 	eventServiceUnreachable   = events.NewChange(6006, logrus.WarnLevel, "service_unreachable", "no backend server of a service is reached; requests are handed to peers")
 	eventServiceReached       = events.NewChange(6007, logrus.InfoLevel, "service_reached", "a backend server of the service is reached again")
+	eventRankShed             = events.NewChange(6030, logrus.WarnLevel, "rank_shed", "requests of a rank are refused because the service has too little capacity for them")
+	eventRankServed           = events.NewChange(6031, logrus.InfoLevel, "rank_served", "requests of a rank are no longer refused")
 	eventServerBackoff        = events.New(6005, logrus.InfoLevel, "backend_backoff", "a backend server has refused a request and gets no further ones from this instance for some time")
 	// Each non-idempotent request whose outcome the caller does not know is
 	// written to the log stream, which outlives the instance, so that operators
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -180,6 +180,7 @@
 		routes = route.NewTable(old.routes, tree.Routes)
 	}
 	snapshot := newSnapshot(next, routes, tree)
+	configureAdmission(next, tree)
 	// A request that finds a new service without its backend servers would be refused.
 	g.applyInstances(snapshot.list)
 	g.current.Store(snapshot)
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -45,6 +45,10 @@
 	// AttemptTimeoutMS is the time limit of one attempt if the route states one; 0: that
 	// of the service.
 	AttemptTimeoutMS int `json:"attemptTimeoutMs,omitempty"`
+	// Priority and TargetLatencyMS are those of the route. Without a priority, as from an
+	// older build, the request is admitted as without ranks.
+	Priority        *int `json:"priority,omitempty"`
+	TargetLatencyMS int  `json:"targetLatencyMs,omitempty"`
 }
 
 // handOn hands the request to peers, one after another, until one takes it. It returns
@@ -100,10 +104,14 @@
 
 // handoffHeader returns the header of the request to a peer.
 func (c *call) handoffHeader() http.Header {
-	text, err := json.Marshal(handoff{
+	described := handoff{
 		Service: c.svc.name, Idempotent: c.isIdempotent(), MaxAttempts: min(max(1, c.maxAttempts()-c.reachedServers()), maxHandoffAttempts),
 		TimeoutMS: time.Until(c.deadline).Milliseconds(), AttemptTimeoutMS: c.routeAttemptTimeoutMS(),
-	})
+	}
+	if c.route != nil {
+		described.Priority, described.TargetLatencyMS = &c.route.Priority, c.route.TargetLatencyMS
+	}
+	text, err := json.Marshal(described)
 	if err != nil {
 		panic(err) // cannot happen: the struct has only strings and numbers
 	}
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -92,7 +92,7 @@
 	var h handoff
 	err := json.Unmarshal([]byte(c.r.Header.Get(handoffHeader)), &h)
 	if err != nil || h.MaxAttempts < 1 || h.MaxAttempts > maxHandoffAttempts || h.TimeoutMS < 1 || h.TimeoutMS > dynamic.MaxMillis ||
-		h.AttemptTimeoutMS < 0 || h.AttemptTimeoutMS > dynamic.MaxMillis {
+		h.AttemptTimeoutMS < 0 || h.AttemptTimeoutMS > dynamic.MaxMillis || h.TargetLatencyMS < 0 || h.TargetLatencyMS > dynamic.MaxMillis {
 		return notRunResult(http.StatusBadRequest, reasonMalformed, "the peer's description of the request is invalid"), false
 	}
 	c.handoff = &h
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -147,6 +147,9 @@
 		}
 	}
 	refusal := notRunResult(http.StatusServiceUnavailable, reasonOverloaded, "every backend server that was asked refused before running").withRetryAfter()
+	if r, ok := c.ranked(); ok {
+		refusal = r.spreadRetryAfter(refusal, r.timing())
+	}
 	return c.settleWith(claim, c.lastResort(ctx, refusal))
 }
 
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -21,6 +21,8 @@
 	reasonBodyMemory     = "body_memory"
 	reasonDeadline       = "deadline_exceeded"
 	reasonOverloaded     = "overloaded"
+	reasonOutranked      = "outranked"
+	reasonDisplaced      = "displaced"
 	reasonRateLimited    = "rate_limited"
 	reasonNoBackend      = "no_backend_server"
 	reasonUnreachable    = "backends_unreachable"
@@ -46,6 +48,9 @@
 	// retryAfter is the value of that field if it is above the setting of the
 	// callers.
 	retryAfter time.Duration
+	// exactRetryAfter makes retryAfter the value of the field also if it is below that
+	// setting.
+	exactRetryAfter bool
 }
 
 // notRunResult returns the refusal of a request that did not run.
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -52,6 +52,7 @@
 			s.probeBudgets.Report(s.now(), g.options.Recorder, s.name)
 			s.retryBudget.Instances(instances())
 			s.retryBudget.Report(g.options.Recorder, s.name)
+			s.rankStats.report(g.options.Recorder, s.name)
 			s.updateGauges()
 			s.checkEjected(ctx, probes)
 			s.checkRateLimited(ctx, probes)
--- a/pkg/gateway/problem.go
+++ b/pkg/gateway/problem.go
@@ -54,7 +54,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Cache-Control", "no-store")
 	if res.sendRetryAfter {
-		h.Set("Retry-After", config.retryAfter(res.retryAfter))
+		h.Set("Retry-After", config.retryAfter(res.retryAfter, res.exactRetryAfter))
 	}
 	w.WriteHeader(res.status)
 	_, _ = w.Write(body)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -36,7 +36,8 @@
 	route          *route.Route     // nil if the first path segment selects the service
 	settings       *dynamic.Service // of the service, unchanged during the request
 	deadline       time.Time
-	target         string // path and query as sent to the backend server
+	statedTimeout  time.Duration // how long the caller waits by its own statement; 0: not stated
+	target         string        // path and query as sent to the backend server
 	body           []byte
 	bodyMemory     int64  // taken from the gateway's memory for bodies
 	fingerprint    uint64 // for the quarantine list
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -28,10 +28,14 @@
 		name = c.route.Name
 	}
 	r := &c.record
-	c.g.options.Recorder.Record(e, events.F("request_id", r.RequestID), events.F("service", r.Service), events.F("route", name),
+	fields := []events.Field{events.F("request_id", r.RequestID), events.F("service", r.Service), events.F("route", name),
 		events.F("idempotent", c.settings != nil && c.isIdempotent()), events.F("version", c.activeSnapshot.version),
 		events.F("outcome", r.Outcome), events.F("run", r.Run), events.F("reason", r.Reason), events.F("status", r.Status),
-		events.F("duration_ms", milliseconds(r.Duration)), events.F("deadline_ms", c.deadlineMS()), events.F("attempts", r.Attempts))
+		events.F("duration_ms", milliseconds(r.Duration)), events.F("deadline_ms", c.deadlineMS()), events.F("attempts", r.Attempts)}
+	if r.Admission != nil {
+		fields = append(fields, events.F("admission", r.Admission))
+	}
+	c.g.options.Recorder.Record(e, fields...)
 }
 
 // completedNormally reports whether the request was answered by its only
--- a/pkg/gateway/resolve.go
+++ b/pkg/gateway/resolve.go
@@ -150,6 +150,7 @@
 		if !ok || stated == 0 {
 			return c.refuseBeforeClaim(http.StatusBadRequest, reasonMalformed, c.config.timeout+" must be a positive whole number of milliseconds"), false
 		}
+		c.statedTimeout = stated
 		timeout = min(timeout, stated)
 	}
 	c.deadline = c.startTime.Add(timeout)
--- a/pkg/gateway/select.go
+++ b/pkg/gateway/select.go
@@ -19,11 +19,11 @@
 		return nil, &res
 	}
 	if refusal := c.refuseDuringBackoff(exclude); refusal != nil {
-		return nil, refusal
+		return nil, c.countRankRefusal(refusal)
 	}
 	c.queryLoads(ctx, exclude)
 	if refusal := c.refuseWithoutPermit(exclude); refusal != nil {
-		return nil, refusal
+		return nil, c.countRankRefusal(refusal)
 	}
 	return c.admit(ctx, exclude)
 }
@@ -47,6 +47,9 @@
 // admit selects a backend server that is not in exclude. While none has capacity, it
 // waits in the queue.
 func (c *call) admit(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
+	if r, ok := c.ranked(); ok {
+		return r.admitRanked(ctx, exclude)
+	}
 	err := c.svc.queue.Admit(ctx, func() bool {
 		server = c.svc.routingSet.Pick(c.g.now(), exclude)
 		return server != nil
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"lentilpin/pkg/admission"
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/limit"
@@ -32,6 +33,8 @@
 	outliers     *outlier.Detector
 	quarantine   *quarantine.List
 	queue        *limit.Queue
+	admission    *admission.Controller
+	rankStats    rankStats
 	retryBudget  *retry.Budget
 	hedgeDelay   *retry.HedgeDelay
 	probeBudgets *measure.Budgets
@@ -95,6 +98,8 @@
 		quarantine:        quarantine.New(settings, recorder),
 		queue:             limit.NewQueue(settings.Queue.MaxRequests, dynamic.MillisToDuration(settings.Queue.MaxWaitMS)),
 		retryBudget:       retry.NewBudget(settings.Retry),
+		admission:         admission.NewController(),
+		rankStats:         rankStats{scope: scope},
 		hedgeDelay:        retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
 		recorder:          recorder,
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -44,6 +44,14 @@
 	soakDrain = 400 * time.Millisecond
 )
 
+// soakKinds are the kinds of requests, which have different ranks, and soakRoutes their
+// routes.
+var soakKinds = []string{"orders", "archive"}
+
+const soakRoutes = `, "routes": [
+  {"host": "127.0.0.1", "pathPrefix": "/shop/orders/", "targetLatencyMs": 500, "priority": 0, "services": [{"service": "shop", "weight": 1}]},
+  {"host": "127.0.0.1", "pathPrefix": "/shop/archive/", "targetLatencyMs": 2000, "priority": 2, "services": [{"service": "shop", "weight": 1}]}]`
+
 // soakInstance is an instance that is stopped in an orderly way and started again.
 type soakInstance struct {
 	gateway         *Gateway
@@ -87,6 +95,7 @@
 		},
 	})
 	tree := strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 5000, "requireKey": false`, 1)
+	tree = strings.TrimSuffix(tree, "}") + soakRoutes + "}"
 	require.Equal(s.t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
 	g.UpdateInstances([]platform.Instance{{Kind: platform.KindBackend, Service: "shop", Address: "127.0.0.1:9000", State: platform.StateLive}})
 
@@ -173,8 +182,8 @@
 }
 
 // call sends one order on open connections and compares the response with what ran.
-func (s *soak) call(client *http.Client, address, token string, counts *soakCounts) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/shop/orders/"+token, strings.NewReader("body of "+token))
+func (s *soak) call(client *http.Client, address, kind, token string, counts *soakCounts) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/shop/"+kind+"/"+token, strings.NewReader("body of "+token))
 	require.NoError(s.t, err)
 	r.Header.Set(pipe.TokenHeader, token)
 	resp, err := client.Do(r)
@@ -233,7 +242,7 @@
 			client := &http.Client{Timeout: soakTimeout}
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
-				s.call(client, s.instances[0].callerAddress, fmt.Sprintf("order-%d-%d.", caller, n), &counts)
+				s.call(client, s.instances[0].callerAddress, soakKinds[caller%len(soakKinds)], fmt.Sprintf("order-%d-%d.", caller, n), &counts)
 				clock.Sleep(ctx, 2*time.Millisecond)
 			}
 		})
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -59,6 +59,7 @@
 	runs     map[string]int // number of runs by token
 	requests []*http.Request
 	arrivals []time.Time // of requests
+	load     int         // requests that the load reports state
 	limit    string      // value of RateLimitHeader; empty: not stated
 	refusal  string      // value of Retry-After with which all requests are refused; empty: they are not
 	conns    []net.Conn
@@ -104,6 +105,13 @@
 	return append([]time.Time(nil), b.arrivals...)
 }
 
+// SetLoad sets the number of requests that load reports state.
+func (b *Backend) SetLoad(load int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load = load
+}
+
 // SetRateLimit sets the rate limit in requests per second that complete responses
 // state; empty: none.
 func (b *Backend) SetRateLimit(limit string) {
@@ -125,7 +133,7 @@
 func (b *Backend) signals() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	lines := "endpoint-load-metrics: TEXT named_metrics.inflight=0,named_metrics.slots=6\r\n"
+	lines := fmt.Sprintf("endpoint-load-metrics: TEXT named_metrics.inflight=%d,named_metrics.slots=6\r\n", b.load)
 	if b.limit != "" {
 		lines += RateLimitHeader + ": " + b.limit + "\r\n"
 	}
