--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -15,14 +15,15 @@
 	// all admitted, so that the first refusal says little.
 	priorRequests = 1
 	// fullPressureOccupancy is the share of the slots occupied by more urgent work at
-	// which a rank leaves its whole headroom.
-	fullPressureOccupancy = 0.5
+	// which a rank leaves its whole headroom. With half of the slots, a kind that causes a
+	// fifth of the work met its target latency half as often in an overload as without.
+	fullPressureOccupancy = 0.2
 	// agingStartRatio and agingEndRatio are the admitted shares, relative to the mean of
 	// all ranks, at which a rank begins to regain its headroom and at which it has full
-	// access. The share must not fall below a quarter; the rest is for the noise of ten
-	// requests.
-	agingStartRatio = 0.6
-	agingEndRatio   = 0.35
+	// access. Repetitions by callers count as requests, so that the share of requests that
+	// are served in the end is higher.
+	agingStartRatio = 0.5
+	agingEndRatio   = 0.3
 )
 
 // Controller decides for the requests of one service at this instance. It is safe for
@@ -62,7 +63,7 @@
 func NewController() *Controller { return &Controller{} }
 
 // Configure sets the ranks of the service and the headroom ratio (setting
-// admission.headroomRatio, default 0.7). Priorities that remain in use keep their counts.
+// admission.headroomRatio, default 0.8). Priorities that remain in use keep their counts.
 func (c *Controller) Configure(ranks Ranks, headroomRatio float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -160,6 +161,23 @@
 	return (c.admitted.valueAt(now) + priorRequests) / (c.arrived.valueAt(now) + priorRequests)
 }
 
+// ArrivalsPerAdmission returns the number of requests that arrive for each one that is
+// assigned a backend server; 1 without differing ranks. In an overload callers repeat
+// refused requests, and each of them may cause load queries.
+func (c *Controller) ArrivalsPerAdmission(now time.Duration) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ranks.Differ() {
+		return 1
+	}
+	arrived, admitted := float64(priorRequests), float64(priorRequests)
+	for i := range c.counts {
+		arrived += c.counts[i].arrived.valueAt(now)
+		admitted += c.counts[i].admitted.valueAt(now)
+	}
+	return max(1, arrived/admitted)
+}
+
 // RankState describes the recent decisions about one rank for operators.
 type RankState struct {
 	Priority      int
--- a/pkg/admission/wait.go
+++ b/pkg/admission/wait.go
@@ -3,14 +3,16 @@
 import "time"
 
 const (
-	// targetHoldShare is the share of the target latency after which a refusal costs the
-	// caller more than an immediate one.
-	targetHoldShare = 1.0 / 8
+	// targetHoldShare is the share of the target latency after which a request is refused
+	// unless it is likely to start. A refusal costs the caller more than an immediate one
+	// if it arrives after an eighth.
+	targetHoldShare = 0.11
 	// transferTime is the time to transfer a response to the caller.
 	transferTime = 20 * time.Millisecond
-	// callerWaitShare is the share of its remaining time that a caller waits at most when
-	// a refusal asks it to.
-	callerWaitShare = 1.0 / 3
+	// callerWaitShare is the share of the remaining time that a refusal asks the caller to
+	// wait at most. A caller waits for a third of what is left when the refusal arrives; a
+	// value just below that leaves room for the way there.
+	callerWaitShare = 0.3
 	// minRetryAfter is the least time until a refused caller comes back; a slot rarely
 	// becomes free sooner.
 	minRetryAfter = 50 * time.Millisecond
@@ -52,8 +54,8 @@
 // RetryAfter returns when a refused caller is to come back. expected is the expected time
 // until there is room, left the remaining time of the caller, draw a random number from 0
 // to 1 that spreads callers. The result leaves the repetition enough of the target
-// latency where that is possible, and is at most a third of left, because a caller does
-// not wait for longer.
+// latency where that is possible, and is less than a third of left, because a
+// caller does not wait for longer.
 func RetryAfter(t Timing, expected, left time.Duration, draw float64) time.Duration {
 	latest := time.Duration(callerWaitShare * float64(left))
 	earliest := min(max(expected, minRetryAfter), latest)
--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -55,7 +55,7 @@
 	ByPriority bool `json:"byPriority"` // default true
 	// HeadroomRatio is the share of a backend server's range of load, up to
 	// Routing.MaxLatencyRatio, that the least urgent requests leave to more urgent ones;
-	// default 0.7.
+	// default 0.8.
 	HeadroomRatio float64 `json:"headroomRatio"`
 	// MaxWaitRatio is the longest wait in the queue as a share of the time to the
 	// deadline; default 0.5. Queue.MaxWaitMS is allowed in any case.
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -149,7 +149,7 @@
 		return
 	}
 	c.refreshes++
-	if rand.Float64() < c.svc.queryShare() {
+	if c.svc.queryShare() >= 1 { // the budget is not used up by decisions
 		c.svc.queryAll(ctx, c.svc.routingSet.LoadQueryTargets(c.g.now(), routing.LocalRound, exclude, nil), localQueryTimeout)
 	}
 	c.lastRefresh = time.Now()
--- a/pkg/gateway/load_query.go
+++ b/pkg/gateway/load_query.go
@@ -44,6 +44,9 @@
 // queries within the setting measuring.questionsPerBackend.
 func (s *service) queryShare() float64 {
 	queriesPerDecision := float64(s.queriesSent.Load()) / float64(max(1, s.queryDecisions.Load()))
+	// MeanLoad and MeanLatency tell the rate of requests that backend servers receive.
+	// Decisions that end in a refusal come on top.
+	queriesPerDecision *= s.admission.ArrivalsPerAdmission(s.now())
 	return measure.LoadQueryShare(s.settings.Load().Measuring.LoadQueriesPerBackend, queriesPerDecision, s.routingSet.MeanLoad(), s.routingSet.MeanLatency())
 }
 
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -19,7 +19,8 @@
 // the queue is full, or if the rate of recent starts shows that the request cannot
 // start before its deadline. Queue adds goroutines and timers to a WaitList. Only the
 // head (without ranks the oldest waiter) is ever woken: it tries to start, and wakes the
-// next waiter when it leaves. A wake-up that arrives while the queue is empty has no effect and is not
+// next waiter when it leaves. Where a less urgent head has aged and finds no room, the
+// first of the more urgent waiters tries too. A wake-up that arrives while the queue is empty has no effect and is not
 // needed, because a waiter always tries once when it becomes the oldest.
 //
 // State: local to this instance, lost at process exit. Messages: none.
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -86,7 +86,7 @@
 // wait joins the queue and returns when the request has started or is refused. r is nil
 // for a request without a rank.
 func (q *Queue) wait(ctx context.Context, r *Ranked, try func() bool) error {
-	w := &Waiter{signal: make(chan struct{}, 1), evicted: make(chan struct{})}
+	w := &Waiter{signal: make(chan turn, 1), evicted: make(chan struct{})}
 	if err := q.join(ctx, r, w); err != nil {
 		return err
 	}
@@ -94,19 +94,19 @@
 	defer timer.Stop()
 	for {
 		select {
-		case <-w.signal:
-			if q.isHead(w) && try() {
-				q.leave(w, true)
-				return nil
+		case turn := <-w.signal:
+			if q.mayTry(w, turn) {
+				if try() {
+					q.leave(w, true)
+					return nil
+				}
+				q.passOn(w)
 			}
 		case <-w.evicted:
 			return ErrDisplaced
 		case <-timer.C:
 			if r != nil && q.mayContinue(w, r) {
-				if q.isHead(w) && try() {
-					q.leave(w, true)
-					return nil
-				}
+				q.Wake()
 				timer.Reset(q.untilNextCheck(r, w))
 				continue
 			}
@@ -145,8 +145,10 @@
 		}
 	}
 	q.waitingCount.Add(1)
-	if q.waitList.Head() == w {
+	if head := q.waitList.HeadAt(q.now()); head == w {
 		q.signal()
+	} else if q.waitList.MoreUrgent(q.now(), head) == w {
+		w.wake(passedOn)
 	}
 	return nil
 }
@@ -172,18 +174,27 @@
 	return q.waitList.MayContinue(q.now(), w, r.Hold)
 }
 
-// isHead reports whether w is the head of the queue. Otherwise it wakes the head, because
-// w may have used up a wake-up that it received as the head.
-func (q *Queue) isHead(w *Waiter) bool {
+// mayTry reports whether a waiter that was woken may try to start. A waiter that is no
+// longer the head wakes the head instead.
+func (q *Queue) mayTry(w *Waiter, turn turn) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !w.queued || q.waitList.HeadAt(q.now()) == w {
+	if !w.queued || turn == passedOn || q.waitList.HeadAt(q.now()) == w {
 		return w.queued
 	}
 	q.signal()
 	return false
 }
 
+// passOn wakes the waiter that may start although w has found no room.
+func (q *Queue) passOn(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if next := q.waitList.MoreUrgent(q.now(), w); next != nil {
+		next.wake(passedOn)
+	}
+}
+
 // leave removes w and wakes the next waiter if w was the head. It does so even if
 // w did not start, because w may have received a wake-up that it did not use.
 func (q *Queue) leave(w *Waiter, started bool) {
@@ -208,10 +219,22 @@
 // next one when it leaves.
 func (q *Queue) signal() {
 	if w := q.waitList.HeadAt(q.now()); w != nil {
-		select {
-		case w.signal <- struct{}{}:
-		default:
-		}
+		w.wake(asHead)
+	}
+}
+
+// turn says why a waiter is woken.
+type turn uint8
+
+const (
+	asHead   turn = iota
+	passedOn      // the head, which is less urgent, has found no room
+)
+
+func (w *Waiter) wake(t turn) {
+	select {
+	case w.signal <- t:
+	default:
 	}
 }
 
--- a/pkg/limit/ranked.go
+++ b/pkg/limit/ranked.go
@@ -9,6 +9,10 @@
 	// about the longest wait that a target latency of half a second leaves, so that a
 	// waiter overtakes later arrivals only if its own target permits such a wait.
 	agingStep = 200 * time.Millisecond
+	// continueMargin is the factor on the expected wait of a waiter after its hold. The
+	// expectation is a mean; without a margin half of those that go on waiting are refused
+	// late.
+	continueMargin = 4
 	// maxOvertakingShare bounds the share of starts that are expected to overtake a
 	// waiter, so that the expected wait stays finite.
 	maxOvertakingShare = 0.9
@@ -99,7 +103,7 @@
 	w.order = w.Deadline
 	if l.length >= l.maxRequests {
 		displaced = l.leastUrgent()
-		if displaced == nil || l.agedRank(displaced) <= w.rank {
+		if displaced == nil || displaced.rank <= w.rank {
 			return nil, ErrQueueFull
 		}
 	}
@@ -128,25 +132,39 @@
 	expected, ok := l.expectedWait(l.countAhead(w), w.rank)
 	// Without a start for longer than usual the rate has fallen.
 	expected = max(expected, now-l.intervalStart)
-	return ok && now+expected <= w.Deadline
+	return ok && now+continueMargin*expected <= w.Deadline
 }
 
-// leastUrgent returns the waiter that would start last, or nil.
+// leastUrgent returns the waiter of the least urgent rank with the latest start, or nil.
+// Aging does not count here: a waiter that has waited for long would be refused soon.
 func (l *WaitList) leastUrgent() *Waiter {
-	var out *Waiter
-	for i := range l.ranks {
-		if w := l.ranks[i].last; w != nil && (out == nil || l.precedes(out, w)) {
-			out = w
+	for i := len(l.ranks) - 1; i >= 0; i-- {
+		if w := l.ranks[i].last; w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// MoreUrgent returns the waiter that may start although w, which comes before it by
+// aging, has found no room: the first one of the ranks that are more urgent than that of
+// w, or nil. There may be room for these, because they need to leave less headroom.
+func (l *WaitList) MoreUrgent(now time.Duration, w *Waiter) (out *Waiter) {
+	l.lastNow = max(l.lastNow, now)
+	for i := range w.rank {
+		if first := l.ranks[i].first; first != nil && (out == nil || l.precedes(first, out)) {
+			out = first
 		}
 	}
 	return out
 }
 
-// countAhead returns the number of waiters that start before w.
+// countAhead returns the number of waiters that w has to wait for: those of more urgent
+// ranks and those of its own with an earlier order.
 func (l *WaitList) countAhead(w *Waiter) (n int) {
-	for i := range l.ranks {
+	for i := range w.rank + 1 {
 		for other := l.ranks[i].first; other != nil; other = other.next {
-			if other != w && !l.precedes(w, other) {
+			if other != w && (i < w.rank || other.order <= w.order) {
 				n++
 			}
 		}
--- a/pkg/limit/waitlist.go
+++ b/pkg/limit/waitlist.go
@@ -36,7 +36,7 @@
 	prev     *Waiter
 	next     *Waiter
 	queued   bool
-	signal   chan struct{} // used by Queue only
+	signal   chan turn     // used by Queue only
 	evicted  chan struct{} // used by Queue only
 }
 
