bench: bursts of requests of several ranks, with and without admission by rank

Cause: a gain under load needs a test that replays that load, and the bench had one kind of request only.

--- a/cmd/lentilpin-bench/main.go
+++ b/cmd/lentilpin-bench/main.go
@@ -26,12 +26,18 @@
 	flaggy.String(&deployments, "d", "deployment", "only these, separated by commas")
 	flaggy.String(&scenarios, "c", "scenario", "only these, separated by commas")
 	flaggy.String(&policies, "p", "policy", "only these, separated by commas")
+	ranks := false
+	flaggy.Bool(&ranks, "", "ranks", "play bursts of requests of several ranks with and without admission by rank instead")
 	flaggy.Parse()
 
 	var seeds []uint64
 	for i := range seedCount {
 		seeds = append(seeds, firstSeed+uint64(i))
 	}
+	if ranks {
+		runRanks(seeds)
+		return
+	}
 	results, err := bench.RunAll(bench.Plan(seeds, func(j *bench.Job) bool {
 		return matches(deployments, j.Deployment.Name) && matches(scenarios, j.Scenario.Name) && matches(policies, j.Variant.Name)
 	}), workers)
@@ -50,6 +56,24 @@
 	}
 }
 
+// runRanks prints the served shares by rank for small and for large fleets.
+func runRanks(seeds []uint64) {
+	for _, entries := range []int{20, 133, 214} {
+		for _, s := range bench.RankScenarios(entries) {
+			for _, seed := range seeds {
+				for _, ranked := range []bool{false, true} {
+					r, err := bench.RunRanks(s, ranked, seed)
+					if err != nil {
+						fmt.Fprintln(os.Stderr, err)
+						os.Exit(1)
+					}
+					fmt.Println(strings.Join(r.Lines(), "\n"))
+				}
+			}
+		}
+	}
+}
+
 // matches reports whether the comma-separated list is empty or contains value.
 func matches(list, value string) bool {
 	return list == "" || slices.Contains(strings.Split(list, ","), value)
--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -24,6 +24,12 @@
 // policies retry failed attempts under the same retry budget. Ejection, limits,
 // quarantine and hedging are enabled by variant; see Variants.
 //
+// A second model (RankScenario, RunRanks) plays bursts of requests of several ranks to one
+// service, with admission by rank and without it, with the policy fresh and its load
+// queries. It uses pkg/admission, pkg/limit and pkg/routing as the gateway does; callers
+// repeat refused requests as docs/hard-load.md states. A backend server works at a seventh
+// of its speed for some periods of half a second.
+//
 // The tests check that a seed gives the same result each time and that no request
 // is lost, and they check the simulated backend servers and the event loop.
 package bench
