limit: only the head of the queue tries again without a wake-up; tests

Cause: each of up to 64 waiters woke the head every 25 ms. Change: a waiter's timer lets it try only if it is the head.

--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -93,6 +93,9 @@
 	}
 	require.Greater(t, c.Headroom(now, 1, 2), 0.6)
 
+	require.Greater(t, c.ArrivalsPerAdmission(now), 1.1)
+	c.Configure(admission.NewRanks([]int{1}), 0.7)
+	require.Equal(t, 1.0, c.ArrivalsPerAdmission(now), "as without ranks")
 	c.Configure(admission.NewRanks([]int{0, 1, 2}), 0.7)
 	require.InDelta(t, 1, c.State(now)[0].AdmittedShare, 0.01)
 	require.Less(t, c.State(now)[1].AdmittedShare, 0.9, "a priority that remains in use keeps its counts")
--- a/pkg/bench/rank_entry.go
+++ b/pkg/bench/rank_entry.go
@@ -303,7 +303,9 @@
 			e.wake()
 			return
 		}
-		e.wake()
+		if e.waitList.HeadAt(e.now()) == w {
+			e.wake()
+		}
 		if q.isWaiting {
 			e.scheduleCheck(q)
 		}
--- a/pkg/ctl/explain_test.go
+++ b/pkg/ctl/explain_test.go
@@ -24,3 +24,15 @@
 	}
 	require.Equal(t, []string{"10.0.0.1:80", "10.0.0.1:80/i-7/5"}, addresses)
 }
+
+// Guards against a refusal by rank that an operator cannot tell from one of an overload
+// that concerns all requests.
+func TestExplainPriority(t *testing.T) {
+	const line = `{"event":6010,"request_id":"id-1","outcome":"not_run","reason":"outranked","admission":{"priority":7,"rank":2,"headroom":0.8,"occupancy":1.25,"waited_ms":62.04}}`
+	parsed, ok := parseLine([]byte(line))
+	require.True(t, ok)
+	var out strings.Builder
+	showTimeline(&out, &explainReport{Found: true}, []logLine{parsed}, nil)
+	require.Contains(t, out.String(), "reason outranked")
+	require.Contains(t, out.String(), "priority 7, rank 2: waited 62.0 ms; 80% of a backend server's load left to more urgent requests at 1.2 requests for each slot")
+}
--- a/pkg/limit/queue.go
+++ b/pkg/limit/queue.go
@@ -106,7 +106,6 @@
 			return ErrDisplaced
 		case <-timer.C:
 			if r != nil && q.mayContinue(w, r) {
-				q.Wake()
 				timer.Reset(q.untilNextCheck(r, w))
 				continue
 			}
@@ -167,11 +166,18 @@
 	return max(0, left)
 }
 
-// mayContinue reports whether a ranked waiter may go on waiting.
+// mayContinue reports whether a ranked waiter may go on waiting. If it is the head, it
+// tries again.
 func (q *Queue) mayContinue(w *Waiter, r *Ranked) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.waitList.MayContinue(q.now(), w, r.Hold)
+	if !q.waitList.MayContinue(q.now(), w, r.Hold) {
+		return false
+	}
+	if q.waitList.Head() == w {
+		w.wake(asHead)
+	}
+	return true
 }
 
 // mayTry reports whether a waiter that was woken may try to start. A waiter that is no
