--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -14,6 +14,8 @@
 	eventServiceReached       = events.NewChange(6007, logrus.InfoLevel, "service_reached", "a backend server of the service is reached again")
 	eventEvacuationBegun      = events.NewChange(6020, logrus.WarnLevel, "evacuation_begun", "a failure domain is evacuated by an operator; its backend servers get no requests from this instance")
 	eventEvacuationEnded      = events.NewChange(6021, logrus.InfoLevel, "evacuation_ended", "the evacuation of a failure domain has ended; its backend servers are used again")
+	eventRankShed             = events.NewChange(6040, logrus.WarnLevel, "rank_shed", "requests of a rank are refused because the service has too little capacity for them")
+	eventRankServed           = events.NewChange(6041, logrus.InfoLevel, "rank_served", "requests of a rank are no longer refused")
 	eventServerBackoff        = events.New(6005, logrus.InfoLevel, "backend_backoff", "a backend server has refused a request and gets no further ones from this instance for some time")
 	eventServerCold           = events.New(6030, logrus.InfoLevel, "backend_cold", "a backend server has stated that it is cold; until it is warm, its requests need permits that one instance issues for all")
 	// Each non-idempotent request whose outcome the caller does not know is
