bench: policy fresh with load queries, uneven failure domains and slow states

The simulation had no load queries and 20 backend servers with even demand, so neither hedges nor balancing between failure domains could be judged for the policy that deployments use.

--- a/pkg/bench/backend.go
+++ b/pkg/bench/backend.go
@@ -59,7 +59,7 @@
 		a.sendReply(routing.Broken)
 	case b.failsFast:
 		b.simulation.loop.after(failFastServiceTime, func() { a.sendReply(routing.ErrorResponse) })
-	case len(b.queue) >= queueCapacity:
+	case len(b.queue) >= b.simulation.deployment.queueCapacity():
 		a.sendReply(routing.Shed)
 	default:
 		a.arrivedAt, a.inflightOnArrival = now, len(b.running)+len(b.queue)
@@ -75,8 +75,9 @@
 		a := b.queue[0]
 		b.queue = b.queue[1:]
 		b.running = append(b.running, a)
-		work := a.request.work * logNormal(b.rand) * b.workFactor()
-		b.simulation.loop.after(time.Duration(work*float64(meanServiceTime)), func() { b.finish(a) })
+		a.startedAt = b.simulation.loop.now
+		work := a.request.work * logNormal(b.rand, b.simulation.deployment.sigma()) * b.workFactor()
+		b.simulation.loop.after(b.duration(time.Duration(work*float64(meanServiceTime))), func() { b.finish(a) })
 	}
 }
 
@@ -89,6 +90,7 @@
 		b.crash(a)
 		return
 	}
+	b.simulation.usefulTime += b.simulation.loop.now - a.startedAt
 	b.latenciesByInflight[a.inflightOnArrival].add(b.simulation.loop.now - a.arrivedAt)
 	b.startQueued()
 	a.sendReply(routing.Success)
@@ -109,6 +111,7 @@
 // cancel removes a canceled attempt from its slot or from the queue.
 func (b *backend) cancel(a *attempt) {
 	if removeAttempt(&b.running, a) {
+		b.simulation.wastedTime += b.simulation.loop.now - a.startedAt
 		b.startQueued()
 		return
 	}
@@ -139,6 +142,10 @@
 // balance: Introducing Prequal", NSDI 2024).
 func (b *backend) report() routing.Report {
 	r := routing.Report{Inflight: int32(len(b.running)), Queued: int32(len(b.queue)), Slots: slotsPerBackend}
+	if b.simulation.deployment.Workload != nil {
+		r.Slowdown = b.slowFactor(b.simulation.loop.now) // policy fresh uses it instead of the latency
+		return r
+	}
 	inflight := int(r.Load())
 	for distance := range inflightLevels {
 		for _, i := range [2]int{inflight - distance, inflight + distance} {
@@ -167,4 +174,13 @@
 const sigma = 0.4
 
 // logNormal returns a log-normally distributed factor with a mean of 1.
-func logNormal(r *rand.Rand) float64 { return math.Exp(sigma*r.NormFloat64() - sigma*sigma/2) }
+func logNormal(r *rand.Rand, sigma float64) float64 {
+	return math.Exp(sigma*r.NormFloat64() - sigma*sigma/2)
+}
+
+func (d *Deployment) sigma() float64 {
+	if d.Workload == nil {
+		return sigma
+	}
+	return workloadSigma
+}
--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -61,9 +61,16 @@
 	CrossDomainProbes            int
 	CrossDomainRequests          int
 	Retries, Hedges              int
+	Attempts                     int     // hedges and retries included
+	InTime                       int     // requests of a Workload answered within their target latency
+	LoadQueries                  int     // before decisions
+	Bytes, CrossDomainBytes      int     // of attempts and load queries
+	WorkRatio                    float64 // slot time of canceled attempts relative to that of finished ones
 	MaxSlotQueue                 int
 	BudgetUsedRatio              float64
-	Latency                      *hdrhistogram.Histogram // microseconds
+	Latency                      *hdrhistogram.Histogram // microseconds; of a Workload, idempotent requests only
+	SpillDispersion              float64                 // see spill.dispersion
+	SpillLocalIdle               float64                 // share of the crossing attempts while an own candidate was fast and at most half full
 }
 
 // simulation is the state of one run with one deployment, scenario, variant and
@@ -79,6 +86,10 @@
 	backends          []*backend
 	backendsByAddress map[string]*backend
 	result            *Result
+	seed              uint64
+	spill             spill
+
+	usefulTime, wastedTime time.Duration // slot time of finished and of canceled attempts
 }
 
 // maxRecordedLatency is the upper bound of the latency histograms. It exceeds the
@@ -94,6 +105,7 @@
 		return nil, err
 	}
 	sim := &simulation{
+		seed:       seed,
 		deployment: &d, scenario: &s, variant: &v, settings: settings,
 		backendsByAddress: map[string]*backend{},
 		network:           network{rand: newRand(seed, 1), crossDelay: d.CrossDelay, scenario: &s},
@@ -106,11 +118,14 @@
 		return nil, err
 	}
 	sim.loop.run(s.Length + 2*settings.Timeout())
+	sim.summarize()
 	for _, x := range sim.backends {
 		sim.result.MaxSlotQueue = max(sim.result.MaxSlotQueue, x.longestQueue)
 	}
 	allowedProbes := settings.Measuring.MessagesPerSecond * s.Length.Seconds()
-	sim.result.BudgetUsedRatio = float64(sim.result.Probes) / allowedProbes
+	if allowedProbes > 0 {
+		sim.result.BudgetUsedRatio = float64(sim.result.Probes) / allowedProbes
+	}
 	return sim.result, nil
 }
 
@@ -123,6 +138,9 @@
 func newSettings(d Deployment, v Variant) (*dynamic.Service, error) {
 	text := fmt.Sprintf(`{"version": 1, "regions": {%q: {"services": {%q: {"routing": {"policy": %q}}}}}}`,
 		d.Name, d.Service, v.Policy)
+	if d.Workload != nil {
+		text = workloadSettings(d, v)
+	}
 	tree, err := dynamic.Parse([]byte(text))
 	if err != nil {
 		return nil, errors.Wrap(err, "settings of the bench")
@@ -135,21 +153,28 @@
 // faults and periodic tasks.
 func (sim *simulation) setUp(seed uint64) error {
 	var allBackends []routing.Backend
+	backends := sim.deployment.backendCount()
 	for i := range backends {
-		x := &backend{simulation: sim, index: i, domain: i % sim.deployment.FailureDomains, coldSince: -1, rand: newRand(seed, 1000+uint64(i))}
+		x := &backend{simulation: sim, index: i, domain: sim.deployment.backendDomain(i), coldSince: -1, rand: newRand(seed, 1000+uint64(i))}
 		address := fmt.Sprintf("10.0.0.%d:80", i+1)
 		sim.backends, sim.backendsByAddress[address] = append(sim.backends, x), x
 		allBackends = append(allBackends, routing.Backend{Address: address, FailureDomain: domainName(x.domain)})
 	}
-	for i := range entries {
+	for i := range sim.deployment.entryCount() {
 		e, err := newEntry(sim, i, i%sim.deployment.FailureDomains, seed*1000+uint64(i))
 		if err != nil {
 			return err
 		}
 		e.updateBackends(sim.listedBackends(e, allBackends[:backends-sim.scenario.ColdBackends]))
 		sim.entries = append(sim.entries, e)
-		sim.loop.every(time.Duration(i)*time.Millisecond, 5*time.Millisecond, sim.scenario.Length, e.sendProbes)
-		sim.loop.every(time.Duration(i)*5*time.Millisecond, 100*time.Millisecond, sim.scenario.Length, e.sweepOutliers)
+		sweepPeriod := 100 * time.Millisecond
+		if sim.deployment.Workload != nil {
+			sweepPeriod = workloadSweepPeriod
+		}
+		if !e.routingSet.QueriesLoad() {
+			sim.loop.every(time.Duration(i)*time.Millisecond, 5*time.Millisecond, sim.scenario.Length, e.sendProbes)
+		}
+		sim.loop.every(time.Duration(i)*5*time.Millisecond, sweepPeriod, sim.scenario.Length, e.sweepOutliers)
 	}
 	sim.loop.after(faultStart, func() { sim.injectFaults(allBackends) })
 	sim.generateArrivals(newRand(seed, 2), newRand(seed, 3))
@@ -176,7 +201,7 @@
 	for i := range sim.scenario.FailFastBackends {
 		sim.backends[7*i+1].failsFast = true
 	}
-	for _, x := range sim.backends[backends-sim.scenario.ColdBackends:] {
+	for _, x := range sim.backends[len(sim.backends)-sim.scenario.ColdBackends:] {
 		x.coldSince = faultStart
 	}
 	if sim.scenario.ColdBackends > 0 {
@@ -190,6 +215,10 @@
 // random sources that nothing else uses, so they are the same for all variants of
 // a seed.
 func (sim *simulation) generateArrivals(times, work *rand.Rand) {
+	if sim.deployment.Workload != nil {
+		sim.generateWorkload(times, work)
+		return
+	}
 	rate := sim.scenario.Load * backends * slotsPerBackend / meanServiceTime.Seconds()
 	var next func()
 	next = func() {
@@ -198,7 +227,7 @@
 			return
 		}
 		e := sim.entries[times.IntN(entries)]
-		e.accept(&request{entry: e, arrivedAt: now, work: logNormal(work)})
+		e.accept(&request{entry: e, arrivedAt: now, work: logNormal(work, sigma)})
 		factor := 1.0
 		if sim.scenario.LoadFactor != nil {
 			factor = sim.scenario.LoadFactor(now)
@@ -233,7 +262,7 @@
 // crossDomain is set and in the same one otherwise.
 func (sim *simulation) randomPeer(r *rand.Rand, e *entry, crossDomain bool) *entry {
 	for {
-		if p := sim.entries[r.IntN(entries)]; p != e && (p.domain != e.domain) == crossDomain {
+		if p := sim.entries[r.IntN(len(sim.entries))]; p != e && (p.domain != e.domain) == crossDomain {
 			return p
 		}
 	}
@@ -278,8 +307,34 @@
 	latency := sim.loop.now - r.arrivedAt
 	if !ok {
 		sim.result.Errors++
-		latency = sim.settings.Timeout()
+		latency = r.timeout()
+	}
+	if r.kind != nil {
+		if ok && latency <= r.kind.TargetLatency {
+			sim.result.InTime++
+		}
+		if !r.kind.Idempotent {
+			return
+		}
 	}
 	// The value is always within the range of the histogram.
 	_ = sim.result.Latency.RecordValue(max(1, latency.Microseconds()))
 }
+
+// summarize derives the ratios of the result from the counts of the run.
+func (sim *simulation) summarize() {
+	r := sim.result
+	r.SpillDispersion = sim.spill.dispersion()
+	r.SpillLocalIdle = ratio(sim.spill.localIdle, sim.spill.attempts)
+	if sim.usefulTime > 0 {
+		r.WorkRatio = float64(sim.wastedTime) / float64(sim.usefulTime)
+	}
+}
+
+// ratio returns a / b, or 0 if b is 0.
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
--- a/pkg/bench/doc.go
+++ b/pkg/bench/doc.go
@@ -20,6 +20,17 @@
 // the network path to the caller is the same for all policies. Connections are
 // assumed to be established.
 //
+// A Workload (workload.go) is a second model for policy fresh with its load queries
+// (load_query.go) and the route's hedge delay (hedge.go): several kinds of requests of
+// 100 to 410 ms, failure domains with uneven demand and uneven numbers of backend
+// servers, and backend servers that are 7 times slower for half a second at a time. The
+// slowdown of each moment applies to the attempts in progress; in the scenario held,
+// that of the start of an attempt applies until its end. The latency is that of
+// idempotent requests; a failed one counts with its caller's deadline. spill.go counts
+// what crosses failure domains. The work of a request is almost constant (sigma 0.15
+// for the request and for the attempt), and a request with its response is assumed to
+// have 2 KB.
+//
 // For a given seed, all policies get the same arrivals and the same work. All
 // policies retry failed attempts under the same retry budget. Ejection, limits,
 // quarantine and hedging are enabled by variant; see Variants.
--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"lentilpin/pkg/events"
@@ -9,6 +10,7 @@
 	"lentilpin/pkg/outlier"
 	"lentilpin/pkg/quarantine"
 	"lentilpin/pkg/retry"
+	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 )
 
@@ -23,15 +25,29 @@
 	pendingAttempts int
 	brokenAttempts  int // attempts that ended with a broken connection
 	waiter          limit.Waiter
-	queued          bool // in the wait list of the entry
+	queued          bool  // in the wait list of the entry
+	kind            *Kind // nil: not of a Workload
 }
 
+// timeout returns the time that the caller waits for a response.
+func (r *request) timeout() time.Duration {
+	if r.kind != nil {
+		return r.kind.Deadline
+	}
+	return r.entry.simulation.settings.Timeout()
+}
+
+// mayRunTwice reports whether the request is idempotent.
+func (r *request) mayRunTwice() bool { return r.kind == nil || r.kind.Idempotent }
+
 // attempt is one attempt to run a request on a backend server.
 type attempt struct {
 	request           *request
 	server            *routing.Server
 	backend           *backend
 	sentAt            time.Duration
+	startedAt         time.Duration // in a slot
+	slowdown          float64       // that the backend server had reported when it was selected
 	arrivedAt         time.Duration // at the backend server
 	inflightOnArrival int           // requests in flight at the backend server on arrival
 	ended             bool          // known to have ended at the entry
@@ -53,6 +69,11 @@
 	concurrencyLimits map[*routing.Server]*limit.Concurrency
 	outlier           *outlier.Detector
 	quarantines       *quarantine.List
+	routes            map[*Kind]*route.Route
+	rand              *rand.Rand // decides which decisions load queries precede
+	queryWaiters      map[*routing.Server][]func()
+	queryDecisions    int // decisions before which load queries were allowed
+	queriesSent       int
 }
 
 func newEntry(sim *simulation, ordinal, domain int, seed uint64) (*entry, error) {
@@ -71,7 +92,11 @@
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
 		outlier:           outlier.New(s, events.Discard{}),
 		quarantines:       quarantine.New(s, events.Discard{}),
+		routes:            sim.deployment.Workload.newRoutes(),
+		rand:              newRand(seed, 5),
+		queryWaiters:      map[*routing.Server][]func(){},
 	}
+	e.retryBudget.Instances(sim.deployment.entryCount())
 	var budget measure.ProbeLimiter = e.probeBudgets
 	if routingSet.ProbesPerRequest() > 0 {
 		budget = unlimitedBudget{}
@@ -125,10 +150,12 @@
 		return
 	}
 	e.retryBudget.RecordFirstAttempt(e.simulation.loop.now)
-	e.simulation.loop.after(e.simulation.settings.Timeout(), func() { e.expire(r) })
-	if e.waitList.Len() > 0 || !e.dispatch(r) {
-		e.enqueue(r)
-	}
+	e.simulation.loop.after(r.timeout(), func() { e.expire(r) })
+	e.queryLoads(nil, func() {
+		if !r.done && (e.waitList.Len() > 0 || !e.dispatch(r)) {
+			e.enqueue(r)
+		}
+	})
 }
 
 // enqueue adds a request to the wait list until a backend server has capacity. The
@@ -136,7 +163,7 @@
 func (e *entry) enqueue(r *request) {
 	now := e.simulation.loop.now
 	r.waiter = limit.Waiter{}
-	if err := e.waitList.Join(now, r.arrivedAt+e.simulation.settings.Timeout(), &r.waiter); err != nil {
+	if err := e.waitList.Join(now, r.arrivedAt+r.timeout(), &r.waiter); err != nil {
 		e.finish(r, false)
 		return
 	}
@@ -179,34 +206,25 @@
 	a := &attempt{request: r, server: s, backend: sim.backendsByAddress[s.Address()], sentAt: now}
 	r.attempts, r.servers = append(r.attempts, a), append(r.servers, s)
 	r.pendingAttempts++
-	if e.isCrossDomain(a.backend) {
-		sim.result.CrossDomainRequests++
-	}
+	report, _, _ := s.Reported(now)
+	a.slowdown = report.Slowdown
+	e.countAttempt(a)
 	sim.loop.after(sim.network.delay(now, e.domain, a.backend.domain), func() { a.backend.arrive(a) })
-	sim.loop.after(time.Duration(sim.settings.AttemptTimeoutMS)*time.Millisecond, func() {
+	timeout := time.Duration(sim.settings.AttemptTimeoutMS) * time.Millisecond
+	if r.kind != nil && r.kind.Timeout > 0 {
+		timeout = r.kind.Timeout
+	}
+	sim.loop.after(timeout, func() {
 		if !a.ended {
 			e.abandonAttempt(a, routing.Timeout)
 			e.handleFailure(r)
 		}
 	})
-	if delay, ok := e.hedgeDelay.Delay(); ok && sim.variant.Hedge && len(r.attempts) == 1 {
-		sim.loop.after(delay, func() { e.sendHedge(r) })
-	}
+	e.scheduleHedge(r)
 	e.sendProbes()
 	return true
 }
 
-// sendHedge sends another attempt if one is still pending and the maximum number
-// of attempts and the retry budget allow it.
-func (e *entry) sendHedge(r *request) {
-	if r.done || r.pendingAttempts == 0 || len(r.attempts) >= e.simulation.settings.Retry.MaxAttempts || !e.retryBudget.TakeHedge(e.simulation.loop.now) {
-		return
-	}
-	if e.dispatch(r) {
-		e.simulation.result.Hedges++
-	}
-}
-
 // sendReply sends the outcome and the current load report of the backend server to
 // the entry.
 func (a *attempt) sendReply(o routing.Outcome) {
@@ -250,13 +268,18 @@
 	a.ended = true
 	a.request.pendingAttempts--
 	a.server.EndAttempt(now, latency, o)
+	if kind := a.request.kind; kind != nil && o == routing.Success {
+		e.routes[kind].BaselineLatency.Observe(latency, a.slowdown)
+	}
 	if o == routing.Success || o == routing.Canceled || o == routing.Timeout {
 		e.hedgeDelay.Record(latency)
 	}
 	if !e.simulation.variant.Protections || o == routing.Canceled {
 		return
 	}
-	a.server.SetLimit(e.concurrencyLimits[a.server].Record(latency, o))
+	if e.simulation.settings.Queue.AdaptiveLimit {
+		a.server.SetLimit(e.concurrencyLimits[a.server].Record(latency, o))
+	}
 	e.outlier.Record(now, a.server.Address(), latency, o)
 	switch fingerprint := uint64(a.sentAt); {
 	case o != routing.Broken:
@@ -320,9 +343,11 @@
 		e.finish(r, false)
 	case len(r.attempts) < e.simulation.settings.Retry.MaxAttempts && e.retryBudget.TakeRetry(e.simulation.loop.now):
 		e.simulation.result.Retries++
-		if !e.dispatch(r) {
-			e.enqueue(r)
-		}
+		e.queryLoads(r.servers, func() {
+			if !r.done && !e.dispatch(r) {
+				e.enqueue(r)
+			}
+		})
 	case r.pendingAttempts == 0:
 		e.finish(r, false)
 	}
@@ -358,6 +383,9 @@
 
 func (e *entry) sendProbes() {
 	sim := e.simulation
+	if e.routingSet.QueriesLoad() {
+		return
+	}
 	for {
 		s, ok := e.prober.Next(sim.loop.now)
 		if !ok {
--- a/pkg/bench/runall.go
+++ b/pkg/bench/runall.go
@@ -15,10 +15,15 @@
 // Plan returns a job for each combination of deployment, scenario, variant and
 // seed for which keep returns true. keep may change the job.
 func Plan(seeds []uint64, keep func(*Job) bool) []Job {
+	jobs := combine(Deployments(), Scenarios(), Variants(), seeds, keep)
+	return append(jobs, combine(WorkloadDeployments(), WorkloadScenarios(), WorkloadVariants(), seeds, keep)...)
+}
+
+func combine(deployments []Deployment, scenarios []Scenario, variants []Variant, seeds []uint64, keep func(*Job) bool) []Job {
 	var jobs []Job
-	for _, d := range Deployments() {
-		for _, s := range Scenarios() {
-			for _, v := range Variants() {
+	for _, d := range deployments {
+		for _, s := range scenarios {
+			for _, v := range variants {
 				for _, seed := range seeds {
 					if j := (Job{d, s, v, seed}); keep(&j) {
 						jobs = append(jobs, j)
--- a/pkg/bench/scenario.go
+++ b/pkg/bench/scenario.go
@@ -10,13 +10,14 @@
 	Name, Service  string
 	FailureDomains int
 	CrossDelay     time.Duration // one-way delay between failure domains
+	Workload       *Workload     // nil: 20 backend servers with one kind of request and even demand
 }
 
 // Deployments returns models of the installations of the two users.
 func Deployments() []Deployment {
 	return []Deployment{
-		{"finland", "varasto", 3, 5 * time.Millisecond},
-		{"bavaria", "katalog", 4, 4 * time.Millisecond},
+		{Name: "finland", Service: "varasto", FailureDomains: 3, CrossDelay: 5 * time.Millisecond},
+		{Name: "bavaria", Service: "katalog", FailureDomains: 4, CrossDelay: 4 * time.Millisecond},
 	}
 }
 
@@ -34,7 +35,9 @@
 // Scenario is a pattern of load and faults. The zero values mean no fault.
 type Scenario struct {
 	Name             string
-	Load             float64                                              // mean share of all slots that the requests occupy
+	Load             float64                                              // mean share of all slots that the requests occupy; of a Workload, the factor on its rates
+	Swing            float64                                              // of a Workload: relative amplitude of the demand of each failure domain
+	SlowHeld         bool                                                 // of a Workload: the slowdown at the start of an attempt applies until its end
 	LoadFactor       func(now time.Duration) float64                      // factor on Load
 	WorkFactor       func(now time.Duration, backend, domain int) float64 // factor on the work at a backend server, by its index and failure domain
 	LossDomain       int                                                  // failure domain in which packets are lost
