Hedges: budgets of their own, and none where the reports do not call for one

Hedges were bounded by the retry budget only and were sent after the delay whatever was known, also for requests that are long themselves and too late for the target latency. retry.hedgeRatio and retry.fleetHedgeRatio limit them to a share of the requests of a service and of all services (1, the default, sets no limit; 0 turns them off), always also within the retry budget; the backend server of the first attempt is queried first, a slow one is hedged after half of the delay, one at its usual speed is not.

--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -104,6 +104,14 @@
 	FleetBurst      float64 `json:"fleetBurst"`
 	Hedge           bool    `json:"hedge"`           // default true
 	HedgePercentile float64 `json:"hedgePercentile"` // default 95; percentile of the service's latency after which a hedge is sent
+	// HedgeRatio is the largest number of hedges per request of the service, 0 to 1;
+	// default 1, which sets no limit besides BudgetRatio. 0 sends no hedges.
+	HedgeRatio float64 `json:"hedgeRatio"`
+	// FleetHedgeRatio is the largest number of hedges per request over all services of
+	// an instance, and so of the fleet; default 1, which sets no limit. 0 sends no
+	// hedges. It is meant for the defaults of the tree; a service that states another
+	// value adds that much to the common limit with each request.
+	FleetHedgeRatio float64 `json:"fleetHedgeRatio"`
 }
 
 // Outlier holds the settings of ejection, readmission and slow start.
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -65,6 +65,7 @@
 		// does not change its digits.
 		Probes: []operator.Measuring{{Service: "varasto", Since: time.Now().Add(-10_000 * time.Second),
 			All: operator.ProbeBudget{BudgetPerSecond: 20, Sent: 50_000}}},
+		HedgeCounts: []operator.Hedges{{Service: "varasto", HedgeRatio: 0.02, FleetHedgeRatio: 1, Requests: 1000, Sent: 15, Won: 9, Canceled: 6, Refused: map[string]uint64{"too_late": 4, "no_capacity": 0}}},
 	}
 	second := &operatortest.View{
 		InstanceName:     "e-2",
@@ -122,6 +123,7 @@
 		{"instances", []string{"instances"}, 0, []string{"NO: unconfirmed", "NO: paused", "version 3 (aabbccdd) is in force at 1 of 2", "e-9"}},
 		{"draining", []string{"draining"}, 0, []string{"1s ago", "peer", "2 of 2: e-1, e-2"}},
 		{"measuring", []string{"measuring"}, 0, []string{"50000", "20.00", "25.0%"}},
+		{"hedges", []string{"hedges"}, 0, []string{"1.50%", "2.0%", "none", "too_late 4"}},
 		{"audit", []string{"audit"}, 0, []string{"ctl_test_change", "n=2", "e-2: 1 changes have fallen off", "4 changes at 2 entries"}},
 		{"audit with a limit", []string{"audit", "--after", "1", "--limit", "1"}, 0, []string{"e-1: 1 more changes, use --after 2"}},
 	}
@@ -264,7 +266,7 @@
 		code int
 		want []string
 	}{
-		{"valid tree", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "61", "region/r/service/varasto"}},
+		{"valid tree", []string{"check", old}, 0, []string{"valid", "varasto", "tilaus", "maksu", "63", "region/r/service/varasto"}},
 		{"violated rule", []string{"check", invalid}, 2, []string{"/regions/r/services/maksu/timeoutMs", "0", "minimum"}},
 		{"not JSON", []string{"check", malformed}, 2, []string{"parse JSON"}},
 		{"missing file", []string{"check", dir + "/none"}, 1, []string{"no such file"}},
--- a/pkg/ctl/options.go
+++ b/pkg/ctl/options.go
@@ -60,6 +60,7 @@
 	{"instances", "which versions are in force, since when, and who is ready", nil, false},
 	{"draining", "which backend servers are draining", nil, false},
 	{"measuring", "cost of measuring against its budget", nil, false},
+	{"hedges", "hedged requests against their budgets", nil, false},
 	{"audit", "what the instances changed on their own or adopted", nil, false},
 	{"explain", "the story of a request from log lines, on standard input or in FILE", []string{"ID", "[FILE]"}, true},
 	{"check", "check a settings tree before publishing it", []string{"TREE"}, true},
--- a/pkg/ctl/run.go
+++ b/pkg/ctl/run.go
@@ -40,6 +40,8 @@
 		return runQuery(ctx, o, out, "/v1/draining", showDraining)
 	case "measuring":
 		return runQuery(ctx, o, out, "/v1/measuring", showMeasuring)
+	case "hedges":
+		return runQuery(ctx, o, out, "/v1/hedges", showHedges)
 	case "audit":
 		return runQuery(ctx, o, out, fmt.Sprintf("/v1/audit?after=%d&limit=%d", o.After, o.Limit), showAudit)
 	case "explain":
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -195,7 +195,7 @@
 	require.Equal(t, http.StatusUnauthorized, f.get(f.operators(0), "/v1/requests/"+id).status)
 	for _, path := range []string{
 		"/v1/requests/" + id, "/v1/refusals?minutes=5", "/v1/backends/shop", "/v1/settings/shop",
-		"/v1/instances", "/v1/draining", "/v1/measuring", "/v1/audit",
+		"/v1/instances", "/v1/draining", "/v1/measuring", "/v1/hedges", "/v1/audit",
 	} {
 		req, err := http.NewRequest(http.MethodGet, "http://"+f.operators(0)+path, nil)
 		require.NoError(t, err)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"lentilpin/pkg/membership"
 	"lentilpin/pkg/platform"
 	"lentilpin/pkg/ratelimit"
+	"lentilpin/pkg/retry"
 	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/settings"
@@ -105,13 +106,14 @@
 	updateMu        sync.Mutex          // serializes replacements of the snapshot
 	list            []platform.Instance // latest instance list, guarded by updateMu
 
-	hasList    atomic.Bool   // an instance list was received
-	normal     atomic.Uint64 // requests that completed normally
-	drain      drainState
-	wasReady   atomic.Bool // since the start
-	bodyMemory *limit.Memory
-	inFlight   atomic.Int64
-	background taskTracker
+	hasList     atomic.Bool   // an instance list was received
+	normal      atomic.Uint64 // requests that completed normally
+	drain       drainState
+	wasReady    atomic.Bool // since the start
+	bodyMemory  *limit.Memory
+	fleetHedges retry.HedgeBudget // over all services
+	inFlight    atomic.Int64
+	background  taskTracker
 
 	accepted        tally.Counter
 	outcomeCounters sync.Map // outcomeKey -> tally.Counter
--- a/pkg/gateway/idempotent.go
+++ b/pkg/gateway/idempotent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"lentilpin/pkg/audit"
@@ -17,7 +16,7 @@
 	if c.svc.reach.IsCut() {
 		return c.handOnOrRefuse(ctx)
 	}
-	c.svc.retryBudget.RecordFirstAttempt(c.g.now())
+	c.svc.recordFirstAttempt()
 	ic := &idempotentCall{call: c, ctx: ctx, results: make(chan *attempt, bufferedAttempts)}
 	if res := ic.startNextAttempt(); res != nil {
 		return c.lastResort(ctx, *res)
@@ -38,7 +37,8 @@
 	tried        []*routing.Server
 	pending      map[*routing.Server]pendingAttempt
 	attemptCount int
-	fallback     *attempt // latest error response, sent to the caller if no attempt succeeds
+	hedged       *routing.Server // backend server of the hedge; nil: none was sent
+	fallback     *attempt        // latest error response, sent to the caller if no attempt succeeds
 }
 
 // pendingAttempt is an attempt whose result has not arrived yet.
@@ -76,49 +76,16 @@
 	}()
 }
 
-// prepareHedge queries the loads that are needed to select the second backend
-// server and closes the returned channel when they have arrived or the wait for
-// them has timed out. It runs in the background and does not delay the result of
-// the first attempt.
-func (ic *idempotentCall) prepareHedge() <-chan struct{} {
-	ready := make(chan struct{})
-	exclude := slices.Clone(ic.tried)
-	ctx := ic.ctx
-	ic.g.background.Go(func() {
-		defer close(ready)
-		ic.call.queryLoads(ctx, exclude)
-	})
-	return ready
-}
-
-// startHedge starts a second attempt only if a backend server has capacity now.
-// Waiting in the queue would delay the result of the first attempt.
-func (ic *idempotentCall) startHedge() {
-	if ic.attemptCount >= ic.maxAttempts() || ic.ctx.Err() != nil {
-		return
-	}
-	if !ic.svc.routingSet.HasSpareCapacity(ic.g.now(), ic.tried) || !ic.svc.retryBudget.TakeHedge(ic.g.now()) {
-		return
-	}
-	if server := ic.svc.routingSet.Pick(ic.g.now(), ic.tried); server != nil {
-		ic.svc.hedgeCounter.Inc(1)
-		ic.startAttempt(server)
-	}
-}
-
 func (ic *idempotentCall) waitForResponse() result {
-	hedgeAt, stop := ic.startHedgeTimer()
-	defer stop()
+	hedge := ic.newHedge()
+	defer hedge.stop()
 	defer ic.cancelPending()
-	var hedgeReady <-chan struct{}
 	for {
 		select {
-		case <-hedgeAt:
-			hedgeAt = nil
-			hedgeReady = ic.prepareHedge()
-		case <-hedgeReady:
-			hedgeReady = nil
-			ic.startHedge()
+		case <-hedge.due:
+			hedge.onDue()
+		case <-hedge.ready:
+			hedge.start()
 		case a := <-ic.results:
 			delete(ic.pending, a.server)
 			if res, done := ic.handleResult(a); done {
@@ -133,6 +100,7 @@
 func (ic *idempotentCall) handleResult(a *attempt) (result, bool) {
 	o := classifyAttempt(a)
 	if o == routing.Success {
+		ic.countHedgeWon(a.server)
 		return ic.sendResponse(a), true
 	}
 	if a.failure == nil && !a.resp.Signals.Shed {
@@ -229,6 +197,7 @@
 	}
 	for server, u := range ic.pending {
 		u.cancel()
+		ic.countHedgeCanceled(server)
 		ic.record.Attempts = append(ic.record.Attempts, audit.Attempt{
 			Backend: server.Address(), FailureDomain: server.FailureDomain(),
 			Offset: u.start.Sub(ic.call.startTime), Duration: time.Since(u.start),
@@ -260,29 +229,3 @@
 	}
 	return unknownResult(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before a response arrived")
 }
-
-// currentHedgeDelay returns the delay derived from the target latency of the
-// route or, without a target, the latency percentile of the service. It returns
-// false if neither is known.
-func (ic *idempotentCall) currentHedgeDelay() (time.Duration, bool) {
-	if ic.route != nil {
-		if delay, ok := ic.route.HedgeDelay(); ok {
-			return delay, true
-		}
-	}
-	return ic.svc.hedgeDelay.Delay()
-}
-
-// startHedgeTimer returns a channel that receives when the hedge is due and a
-// function that stops the timer. The channel is nil if no hedge is possible.
-func (ic *idempotentCall) startHedgeTimer() (<-chan time.Time, func()) {
-	if !ic.settings.Retry.Hedge || ic.maxAttempts() < 2 {
-		return nil, func() {}
-	}
-	delay, ok := ic.currentHedgeDelay()
-	if !ok {
-		return nil, func() {}
-	}
-	t := time.NewTimer(delay)
-	return t.C, func() { t.Stop() }
-}
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -114,7 +114,7 @@
 		return c.settleWith(claim, c.handOnOrRefuse(ctx))
 	}
 	var tried []*routing.Server
-	c.svc.retryBudget.RecordFirstAttempt(c.g.now())
+	c.svc.recordFirstAttempt()
 	isRetry := false
 	for sent := 0; sent < c.maxAttempts(); {
 		if isRetry && !c.svc.retryBudget.TakeRetry(c.g.now()) {
--- a/pkg/gateway/operator_view.go
+++ b/pkg/gateway/operator_view.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"lentilpin/pkg/operator"
+	"lentilpin/pkg/retry"
 )
 
 // Backends describes the backend servers of a service for operators, sorted by
@@ -44,3 +45,21 @@
 	}
 	return out
 }
+
+// Hedges returns the hedges of each service and their budgets.
+func (g *Gateway) Hedges() []operator.Hedges {
+	out := []operator.Hedges{}
+	for _, s := range g.current.Load().list {
+		settings, h := s.settings.Load(), s.hedges
+		view := operator.Hedges{
+			Service: s.name, Since: g.start, HedgeRatio: settings.Retry.HedgeRatio, FleetHedgeRatio: settings.Retry.FleetHedgeRatio,
+			Requests: h.requests.Load(), Sent: h.decisions[retry.HedgeSent].count.Load(),
+			Won: h.won.count.Load(), Canceled: h.canceled.count.Load(), Refused: map[string]uint64{},
+		}
+		for d := retry.HedgeSent + 1; d < retry.HedgeDecisionCount; d++ {
+			view.Refused[d.String()] = h.decisions[d].count.Load()
+		}
+		out = append(out, view)
+	}
+	return out
+}
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -37,6 +37,9 @@
 	isSlowRound := tick/ticksPerRound%roundsPerIdleVisit == 0
 	// Counting the instances walks the member table: once in a tick is enough.
 	instances := sync.OnceValue(g.options.Instances)
+	if isSlowRound && tick%ticksPerRound == 0 {
+		g.fleetHedges.Report(g.options.Recorder, "")
+	}
 	for _, s := range g.current.Load().dueServices(tick) {
 		s.checkReach(ctx, probes)
 		idle := s.isIdle()
@@ -52,6 +55,7 @@
 			s.probeBudgets.Report(s.now(), g.options.Recorder, s.name)
 			s.retryBudget.Instances(instances())
 			s.retryBudget.Report(g.options.Recorder, s.name)
+			s.hedges.budgets.Service.Report(g.options.Recorder, s.name)
 			s.updateGauges()
 			s.checkEjected(ctx, probes)
 			s.checkRateLimited(ctx, probes)
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -34,6 +34,7 @@
 	queue        *limit.Queue
 	retryBudget  *retry.Budget
 	hedgeDelay   *retry.HedgeDelay
+	hedges       *hedges
 	probeBudgets *measure.Budgets
 	prober       *measure.Prober
 	permits      *ratelimit.Holder
@@ -54,7 +55,6 @@
 	queryDecisions atomic.Uint64 // decisions before which load queries were allowed
 	queriesSent    atomic.Uint64 // load queries sent before decisions
 
-	hedgeCounter   tally.Counter
 	retryCounter   tally.Counter
 	queryCounter   tally.Counter
 	handoffCounter tally.Counter
@@ -101,7 +101,6 @@
 		notifyPeers:       g.options.NotifyPeers,
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
-		hedgeCounter:      scope.Counter("hedges"),
 		retryCounter:      scope.Counter("retries"),
 		queryCounter:      scope.Counter("load_questions"),
 		handoffCounter:    scope.Counter("handed_on"),
@@ -122,6 +121,7 @@
 		},
 	})
 	s.permits = permits
+	s.hedges = newHedges(scope, s.retryBudget, &g.fleetHedges)
 	s.settings.Store(settings)
 	s.lastAttempt.Store(-int64(serviceIdleTimeout) - 1)
 	s.peers = newHandoffPeers(s, &g.options)
--- a/pkg/operator/doc.go
+++ b/pkg/operator/doc.go
@@ -13,6 +13,7 @@
 //	GET /v1/instances                          settings version, its confirmation, members
 //	GET /v1/draining                           drain marks in force
 //	GET /v1/measuring                          load probes and their budgets
+//	GET /v1/hedges                             hedges and their budgets
 //	GET /v1/audit?after=N&limit=M              audit trail
 //
 // The body of a successful response is a Reply. The body of an error is a Problem:
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -98,6 +98,7 @@
 	v1.GET("/instances", func(c echo.Context) error { return writeReply(h, c, options.View.InstanceState()) })
 	v1.GET("/draining", func(c echo.Context) error { return writeReply(h, c, options.View.DrainMarks()) })
 	v1.GET("/measuring", func(c echo.Context) error { return writeReply(h, c, options.View.Measuring()) })
+	v1.GET("/hedges", func(c echo.Context) error { return writeReply(h, c, options.View.Hedges()) })
 	v1.GET("/audit", h.audit)
 	return e
 }
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -133,6 +133,7 @@
 		{"instances", "/v1/instances", 200, `"entry":{"instance":"e-1"`},
 		{"draining", "/v1/draining", 200, `"result":`},
 		{"measuring", "/v1/measuring", 200, `"result":`},
+		{"hedges", "/v1/hedges", 200, `"result":`},
 		{"audit", "/v1/audit?after=0&limit=5", 200, `"last":0`},
 		{"audit with a negative sequence number", "/v1/audit?after=-1", 400, "after must be"},
 		{"unknown path", "/v1/requests", 404, "about:blank"},
--- a/pkg/operator/operatortest/view.go
+++ b/pkg/operator/operatortest/view.go
@@ -21,6 +21,7 @@
 	OwnState         operator.InstanceState
 	ActiveDrainMarks []operator.DrainMark
 	Probes           []operator.Measuring
+	HedgeCounts      []operator.Hedges
 }
 
 // Identity implements operator.View.
@@ -54,3 +55,6 @@
 
 // Measuring implements operator.View.
 func (v *View) Measuring() []operator.Measuring { return v.Probes }
+
+// Hedges implements operator.View.
+func (v *View) Hedges() []operator.Hedges { return v.HedgeCounts }
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -37,6 +37,8 @@
 	DrainMarks() []DrainMark
 	// Measuring returns the load probes of each service and their budgets.
 	Measuring() []Measuring
+	// Hedges returns the hedges of each service and their budgets.
+	Hedges() []Hedges
 }
 
 // Identity identifies a running instance.
@@ -152,6 +154,20 @@
 	Refused              uint64        `json:"refused"` // probes not sent because they were too early or too large for the budget
 }
 
+// Hedges counts the hedges of one service at this instance since Since. The ratios are
+// hedges per request; 1 is no limit.
+type Hedges struct {
+	Service         string            `json:"service"`
+	Since           time.Time         `json:"since"`
+	HedgeRatio      float64           `json:"hedge_ratio"`
+	FleetHedgeRatio float64           `json:"fleet_hedge_ratio"` // over all services
+	Requests        uint64            `json:"requests"`          // idempotent or not
+	Sent            uint64            `json:"sent"`
+	Won             uint64            `json:"won"`      // the hedge gave the response
+	Canceled        uint64            `json:"canceled"` // another attempt was faster, or the request ended
+	Refused         map[string]uint64 `json:"refused"`  // by reason
+}
+
 // DescribeBackend combines the state of a backend server in routing and in outlier
 // detection.
 func DescribeBackend(e routing.Explanation, i outlier.ServerInfo) Backend {
--- a/pkg/retry/doc.go
+++ b/pkg/retry/doc.go
@@ -14,6 +14,13 @@
 // one with the time until its cancellation; recording only the winners of hedges
 // would shorten the delay with each hedge.
 //
+// HedgeBudgets limits hedges, besides, to a share of the requests of each service and of
+// all services of this instance. A share of requests holds for the whole fleet because it
+// holds at each instance. HedgeCheck decides on the load that hedges answer: reads whose
+// backend server became slow after it was selected. A hedge is not sent if its response
+// would come after the target latency, or if the backend server of the first attempt
+// reports its usual speed, because the request itself is long then.
+//
 // State: local to this instance. Messages: none.
 //
 // Tests: state machine of Budget against a log of all attempts; HedgeDelay
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -179,10 +179,10 @@
 
 // HasSpareCapacity implements server.SpareCapacityChecker. It reports whether the
 // backend server has reported its load recently and is neither unresponsive, slow nor
-// nearly full.
+// nearly full, nor has just started.
 func (p *Policy) HasSpareCapacity(now time.Duration, s *server.Server) bool {
 	report, age, known := s.Reported(now)
-	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || report.Slowdown > maxHedgeSlowdown {
+	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || s.IsCold(now) || report.Slowdown > maxHedgeSlowdown {
 		return false
 	}
 	return float64(report.Load()+s.BegunSinceReport()+1) <= maxHedgeOccupancy*slotsOf(report)
