bench: hedges with limits of 0, 1, 2 and 5 %, heavy load, worst failure domain

The workloads now run hedges with four limits, without a limit and as before the decision existed; budgets start at a random moment of a long run, and results add the failure domain with the least share in time.

--- a/pkg/bench/bench.go
+++ b/pkg/bench/bench.go
@@ -20,8 +20,10 @@
 	Policy         string
 	Protections    bool // ejection, slow start, adaptive limits and quarantine
 	Hedge          bool
-	Baseline       bool // counts as a baseline in the summary
-	IgnoresDomains bool // entries see all backend servers in their own failure domain
+	HedgePercent   float64 // of a Workload: limit of the hedges as a share of the requests
+	UncheckedHedge bool    // of a Workload: hedges do not depend on the load reports of the first backend server
+	Baseline       bool    // counts as a baseline in the summary
+	IgnoresDomains bool    // entries see all backend servers in their own failure domain
 }
 
 // Variants returns lentilpin as the gateway runs it, its ablations, the two
@@ -69,6 +71,7 @@
 	MaxSlotQueue                 int
 	BudgetUsedRatio              float64
 	Latency                      *hdrhistogram.Histogram // microseconds; of a Workload, idempotent requests only
+	WorstDomainInTime            float64                 // least share of the requests of a failure domain that were answered in time
 	SpillDispersion              float64                 // see spill.dispersion
 	SpillLocalIdle               float64                 // share of the crossing attempts while an own candidate was fast and at most half full
 }
@@ -89,9 +92,13 @@
 	seed              uint64
 	spill             spill
 
-	usefulTime, wastedTime time.Duration // slot time of finished and of canceled attempts
+	domainRequests, domainInTime [maxDomains]int
+	usefulTime, wastedTime       time.Duration // slot time of finished and of canceled attempts
 }
 
+// maxDomains is the largest number of failure domains of a deployment.
+const maxDomains = 4
+
 // maxRecordedLatency is the upper bound of the latency histograms. It exceeds the
 // request timeout, which is recorded as the latency of failed requests.
 const maxRecordedLatency = 10 * time.Second
@@ -310,8 +317,10 @@
 		latency = r.timeout()
 	}
 	if r.kind != nil {
+		sim.domainRequests[r.entry.domain]++
 		if ok && latency <= r.kind.TargetLatency {
 			sim.result.InTime++
+			sim.domainInTime[r.entry.domain]++
 		}
 		if !r.kind.Idempotent {
 			return
@@ -324,6 +333,12 @@
 // summarize derives the ratios of the result from the counts of the run.
 func (sim *simulation) summarize() {
 	r := sim.result
+	if sim.deployment.Workload != nil {
+		r.WorstDomainInTime = 1
+	}
+	for i := range sim.deployment.FailureDomains {
+		r.WorstDomainInTime = min(r.WorstDomainInTime, ratio(sim.domainInTime[i], sim.domainRequests[i]))
+	}
 	r.SpillDispersion = sim.spill.dispersion()
 	r.SpillLocalIdle = ratio(sim.spill.localIdle, sim.spill.attempts)
 	if sim.usefulTime > 0 {
--- a/pkg/bench/entry.go
+++ b/pkg/bench/entry.go
@@ -64,6 +64,7 @@
 	probeBudgets      *measure.Budgets
 	retryBudget       *retry.Budget
 	hedgeDelay        *retry.HedgeDelay
+	hedgeBudgets      *retry.HedgeBudgets
 	waitList          *limit.WaitList
 	requestsByWaiter  map[*limit.Waiter]*request
 	concurrencyLimits map[*routing.Server]*limit.Concurrency
@@ -96,6 +97,8 @@
 		rand:              newRand(seed, 5),
 		queryWaiters:      map[*routing.Server][]func(){},
 	}
+	e.hedgeBudgets = &retry.HedgeBudgets{Fleet: &retry.HedgeBudget{}, Retry: e.retryBudget}
+	e.chargeHedgeBudget()
 	e.retryBudget.Instances(sim.deployment.entryCount())
 	var budget measure.ProbeLimiter = e.probeBudgets
 	if routingSet.ProbesPerRequest() > 0 {
@@ -150,6 +153,7 @@
 		return
 	}
 	e.retryBudget.RecordFirstAttempt(e.simulation.loop.now)
+	e.hedgeBudgets.RecordRequest(&e.simulation.settings.Retry)
 	e.simulation.loop.after(r.timeout(), func() { e.expire(r) })
 	e.queryLoads(nil, func() {
 		if !r.done && (e.waitList.Len() > 0 || !e.dispatch(r)) {
--- a/pkg/bench/runall.go
+++ b/pkg/bench/runall.go
@@ -16,7 +16,9 @@
 // seed for which keep returns true. keep may change the job.
 func Plan(seeds []uint64, keep func(*Job) bool) []Job {
 	jobs := combine(Deployments(), Scenarios(), Variants(), seeds, keep)
-	return append(jobs, combine(WorkloadDeployments(), WorkloadScenarios(), WorkloadVariants(), seeds, keep)...)
+	return append(jobs, combine(WorkloadDeployments(), WorkloadScenarios(), WorkloadVariants(), seeds, func(j *Job) bool {
+		return j.isInWorkloadPlan() && keep(j)
+	})...)
 }
 
 func combine(deployments []Deployment, scenarios []Scenario, variants []Variant, seeds []uint64, keep func(*Job) bool) []Job {
--- a/pkg/bench/workload.go
+++ b/pkg/bench/workload.go
@@ -93,6 +93,7 @@
 	return []Scenario{
 		{Name: "calm", Load: 1, Length: workloadLength},
 		{Name: "busy", Load: 2, Length: workloadLength},
+		{Name: "heavy", Load: 3, Length: workloadLength},
 		{Name: "swing", Load: 1.6, Swing: swingRatio, Length: workloadLength},
 		{Name: "held", Load: 1, SlowHeld: true, Length: workloadLength},
 	}
@@ -101,12 +102,23 @@
 // workloadLength covers one period of the swing and the warmup.
 const workloadLength = swingPeriod + warmupPeriod
 
+// isInWorkloadPlan leaves out combinations that show nothing further, so that all runs
+// take about a minute.
+func (j *Job) isInWorkloadPlan() bool {
+	isLarge := j.Deployment.Workload.Entries > 100 && j.Deployment.Name != "even-133"
+	return isLarge && !j.Scenario.SlowHeld || j.Variant.Name == "fresh" || isLarge && j.Variant.HedgePercent == 0
+}
+
 // WorkloadVariants returns the variants that run a Workload.
 func WorkloadVariants() []Variant {
-	return []Variant{
-		{Name: "fresh-nohedge", Policy: "fresh", Protections: true},
-		{Name: "fresh", Policy: "fresh", Protections: true, Hedge: true},
+	list := []Variant{
+		{Name: "fresh", Policy: "fresh", Protections: true, Hedge: true, HedgePercent: 100},
+		{Name: "fresh-unchecked", Policy: "fresh", Protections: true, Hedge: true, HedgePercent: 100, UncheckedHedge: true},
+	}
+	for _, percent := range []float64{0, 1, 2, 5} {
+		list = append(list, Variant{Name: fmt.Sprintf("fresh-hedge%g", percent), Policy: "fresh", Protections: true, Hedge: true, HedgePercent: percent})
 	}
+	return list
 }
 
 // workloadSettings are the settings that the platform's deployments use.
@@ -116,9 +128,9 @@
 		"queue": {"maxRequests": 64, "maxWaitMs": 50, "adaptiveLimit": false},
 		"routing": {"policy": %q, "reportMaxAgeMs": 15, "maxProbes": 3, "crossDomainPenaltyRatio": 0.6},
 		"measuring": {"messagesPerSecond": 0, "bytesPerSecond": 0, "crossDomainMessagesPerSecond": 0, "crossDomainBytesPerSecond": 0, "questionsPerBackend": %g},
-		"retry": {"maxAttempts": 2, "budgetRatio": 0.17, "minPerSecond": 0, "burst": 3, "fleetBurst": 206, "hedge": %t},
+		"retry": {"maxAttempts": 2, "budgetRatio": 0.17, "minPerSecond": 0, "burst": 3, "fleetBurst": 206, "hedge": %t, "hedgeRatio": %g},
 		"outlier": {"errorRatio": 0.3, "minRequests": 4, "ejectMs": 3000, "maxEjectMs": 12000, "maxEjectRatio": 0.4, "slowStartMs": 0, "latencyFactor": 1000}
-	}}}}}`, d.Name, d.Service, v.Policy, d.Workload.LoadQueriesPerBackend, v.Hedge)
+	}}}}}`, d.Name, d.Service, v.Policy, d.Workload.LoadQueriesPerBackend, v.Hedge, v.HedgePercent/100)
 }
 
 func (d *Deployment) backendCount() int {
--- a/pkg/bench/workload_test.go
+++ b/pkg/bench/workload_test.go
@@ -23,8 +23,8 @@
 // their budget allows.
 func TestWorkloadEndsEveryRequestOnce(t *testing.T) {
 	requests := 0
-	for _, variant := range []string{"fresh-nohedge", "fresh", "fresh"} {
-		j := workloadJob(t, "three-20", "busy", variant)
+	for _, variant := range []string{"fresh-hedge0", "fresh", "fresh-hedge2"} {
+		j := workloadJob(t, "three-133", "busy", variant)
 		r, err := Run(j.Deployment, j.Scenario, j.Variant, 5)
 		require.NoError(t, err)
 		require.Positive(t, r.Requests)
