fresh: entries with many requests have more candidates before work leaves its failure domain

An entry had 8 candidates at home and 4 elsewhere whatever its demand, so that one with many requests sent work to other failure domains, or refused it, while backend servers at home were idle. While none of the eight has room, the number now follows the entry's own attempts in flight (one for each two, at most 32 and 16).

--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -110,7 +110,7 @@
 // candidateSet holds the candidates of one decision, those of the own failure
 // domain first.
 type candidateSet struct {
-	servers    [localSubsetSize + remoteSubsetSize]*server.Server
+	servers    [maxCandidates]*server.Server
 	localCount int // number of candidates in the own failure domain
 	n          int // number of candidates
 }
@@ -119,6 +119,7 @@
 func (p *Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	var best *server.Server
 	lowest := math.Inf(1)
 	for _, s := range candidates.servers[:candidates.n] {
@@ -147,6 +148,7 @@
 func (p *Policy) LoadQueryTargets(now time.Duration, l *server.List, r *rand.Rand, round server.LoadQueryRound, exclude, out []*server.Server) []*server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	from, to := 0, candidates.localCount
 	if round > server.LocalRound {
 		costThreshold := idleCost + secondRoundMargin
@@ -162,7 +164,7 @@
 		s    *server.Server
 		cost float64
 	}
-	var list [localSubsetSize + remoteSubsetSize]candidate
+	var list [maxCandidates]candidate
 	n := 0
 	for _, s := range candidates.servers[from:to] {
 		list[n] = candidate{s, p.cost(now, s) + queryJitter*r.Float64()}
--- a/pkg/routing/server/server.go
+++ b/pkg/routing/server/server.go
@@ -183,6 +183,7 @@
 		return false
 	}
 	s.picks.Add(1)
+	s.stats.inflight.Add(1)
 	s.begunSinceReport.Add(1)
 	if n == limit || s.IsRateLimited() {
 		s.updateUsable()
@@ -196,6 +197,7 @@
 // latency only if that exceeds the estimate, because its full latency is unknown.
 func (s *Server) EndAttempt(now, latency time.Duration, o Outcome) {
 	s.inflight.Add(-1)
+	s.stats.inflight.Add(-1)
 	s.updateUsable()
 	failed := 0.0
 	switch o {
--- a/pkg/routing/server/service_stats.go
+++ b/pkg/routing/server/service_stats.go
@@ -15,8 +15,13 @@
 	localLatency, remoteLatency mean.Mean    // nanoseconds, for the own and for other failure domains
 	errorLatency                atomic.Int64 // nanoseconds
 	reportConfidence            reportConfidence
+	inflight                    atomic.Int64
 }
 
+// Inflight returns the number of attempts of this instance in flight at all backend
+// servers of the service.
+func (s *ServiceStats) Inflight() int64 { return s.inflight.Load() }
+
 // minLatencySamples is the number of responses below which their mean latency is
 // not reliable: a few short ones would make every backend server look busy.
 const minLatencySamples = 10
