--- a/pkg/bench/rank_entry.go
+++ b/pkg/bench/rank_entry.go
@@ -114,7 +114,7 @@
 	delay   time.Duration // one way
 }
 
-func (q *rankRequest) kindSettings() *Kind { return &q.run.scenario.Kinds[q.kind] }
+func (q *rankRequest) kindSettings() *RankedKind { return &q.run.scenario.Kinds[q.kind] }
 
 // send sends the request to a random entry.
 func (q *rankRequest) send() {
--- a/pkg/bench/ranks.go
+++ b/pkg/bench/ranks.go
@@ -10,8 +10,8 @@
 	"lentilpin/pkg/routing"
 )
 
-// Kind is a kind of request in a RankScenario.
-type Kind struct {
+// RankedKind is a kind of request in a RankScenario.
+type RankedKind struct {
 	Name        string
 	Priority    int
 	Rate        float64       // requests per second, relative to the other kinds
@@ -30,7 +30,7 @@
 	CrossDelay     time.Duration // one-way delay between failure domains
 	SlowShare      float64       // backend servers that are 7 times slower, for half a second at a time
 	LongShare      float64       // requests that take 7 times as long
-	Kinds          []Kind
+	Kinds          []RankedKind
 	Load           float64       // share of the slots that the requests need without the burst
 	Burst          time.Duration // length of the burst
 }
@@ -55,8 +55,8 @@
 // renderingKinds returns the kinds of the first deployment of docs/hard-load.md, as if they
 // shared one service, with factors on the rates of the most and of the least urgent kind
 // during the burst.
-func renderingKinds(commitFactor, archiveFactor float64) []Kind {
-	return []Kind{
+func renderingKinds(commitFactor, archiveFactor float64) []RankedKind {
+	return []RankedKind{
 		{"commits", 0, 158, 200 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond, commitFactor},
 		{"approvals", 1, 68.8, 230 * time.Millisecond, 600 * time.Millisecond, 1500 * time.Millisecond, 1},
 		{"archive", 2, 167, 370 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond, archiveFactor},
@@ -74,7 +74,7 @@
 	optician := RankScenario{
 		Name: "optician-low-burst", Entries: entries, FailureDomains: []int{7, 9, 9, 7}, CrossDelay: 500 * time.Microsecond,
 		SlowShare: 0.3, LongShare: 0.03, Load: 0.7, Burst: 6 * time.Second,
-		Kinds: []Kind{
+		Kinds: []RankedKind{
 			{"confirmations", 0, 154, 220 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second, 1},
 			{"orders", 1, 163, 410 * time.Millisecond, 1200 * time.Millisecond, 4 * time.Second, 1},
 			{"reads", 2, 497, 310 * time.Millisecond, time.Second, 3 * time.Second, 2.5},
@@ -206,7 +206,7 @@
 		if now >= run.length {
 			return
 		}
-		work := time.Duration(logNormal(r) * float64(k.Work))
+		work := time.Duration(logNormal(r, sigma) * float64(k.Work))
 		if r.Float64() < run.scenario.LongShare {
 			work *= rankSlowFactor
 		}
--- a/pkg/bench/ranks_test.go
+++ b/pkg/bench/ranks_test.go
@@ -37,7 +37,7 @@
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
 			calm := s
-			calm.Kinds = append([]bench.Kind(nil), s.Kinds...)
+			calm.Kinds = append([]bench.RankedKind(nil), s.Kinds...)
 			for i := range calm.Kinds {
 				calm.Kinds[i].BurstFactor = 1
 			}
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -38,6 +38,7 @@
 	rankStats    rankStats
 	retryBudget  *retry.Budget
 	hedgeDelay   *retry.HedgeDelay
+	hedges       *hedges
 	probeBudgets *measure.Budgets
 	prober       *measure.Prober
 	permits      *ratelimit.Holder
@@ -59,7 +60,6 @@
 	queryDecisions atomic.Uint64 // decisions before which load queries were allowed
 	queriesSent    atomic.Uint64 // load queries sent before decisions
 
-	hedgeCounter   tally.Counter
 	retryCounter   tally.Counter
 	queryCounter   tally.Counter
 	handoffCounter tally.Counter
@@ -109,7 +109,6 @@
 		isListCurrent:     func() bool { return g.options.IsListCurrent == nil || g.options.IsListCurrent() },
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
-		hedgeCounter:      scope.Counter("hedges"),
 		retryCounter:      scope.Counter("retries"),
 		queryCounter:      scope.Counter("load_questions"),
 		handoffCounter:    scope.Counter("handed_on"),
@@ -131,6 +130,7 @@
 	})
 	s.permits = permits
 	s.configureWarmup(settings)
+	s.hedges = newHedges(scope, s.retryBudget, &g.fleetHedges)
 	s.settings.Store(settings)
 	s.lastAttempt.Store(-int64(serviceIdleTimeout) - 1)
 	s.peers = newHandoffPeers(s, &g.options)
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -114,7 +114,7 @@
 // candidateSet holds the candidates of one decision, those of the own failure
 // domain first.
 type candidateSet struct {
-	servers    [localSubsetSize + remoteSubsetSize]*server.Server
+	servers    [maxCandidates]*server.Server
 	localCount int // number of candidates in the own failure domain
 	n          int // number of candidates
 }
@@ -123,6 +123,7 @@
 func (p *Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	var best *server.Server
 	lowest := math.Inf(1)
 	for _, s := range candidates.servers[:candidates.n] {
@@ -151,6 +152,7 @@
 func (p *Policy) LoadQueryTargets(now time.Duration, l *server.List, r *rand.Rand, round server.LoadQueryRound, exclude, out []*server.Server) []*server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	from, to := 0, candidates.localCount
 	if round > server.LocalRound {
 		costThreshold := idleCost + secondRoundMargin
@@ -166,7 +168,7 @@
 		s    *server.Server
 		cost float64
 	}
-	var list [localSubsetSize + remoteSubsetSize]candidate
+	var list [maxCandidates]candidate
 	n := 0
 	for _, s := range candidates.servers[from:to] {
 		list[n] = candidate{s, p.cost(now, s) + queryJitter*r.Float64()}
@@ -183,10 +185,10 @@
 
 // HasSpareCapacity implements server.SpareCapacityChecker. It reports whether the
 // backend server has reported its load recently and is neither unresponsive, slow nor
-// nearly full.
+// nearly full, nor has just started.
 func (p *Policy) HasSpareCapacity(now time.Duration, s *server.Server) bool {
 	report, age, known := s.Reported(now)
-	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || report.Slowdown > maxHedgeSlowdown {
+	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || s.IsCold(now) || report.Slowdown > maxHedgeSlowdown {
 		return false
 	}
 	return float64(report.Load()+s.BegunSinceReport()+1) <= maxHedgeOccupancy*slotsOf(report)
