--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -53,6 +53,7 @@
 	platformServer *httptest.Server
 	backend        *backend.Server
 	entries        []*process
+	limits         map[string]int // limits of the settings files
 }
 
 // process is one run of an entry.
@@ -73,15 +74,21 @@
 // newFleet starts the stand-ins and the given number of entries and waits until
 // the entries are ready.
 func newFleet(t *testing.T, entries int) *fleet {
-	f := &fleet{t: t, platform: platform.New(0)}
+	return newFleetWith(t, entries, treeText, backend.Config{ServiceTime: "const:1"}, nil)
+}
+
+// newFleetWith is newFleet with another tree, backend server and limits.
+func newFleetWith(t *testing.T, entries int, tree string, config backend.Config, limits map[string]int) *fleet {
+	f := &fleet{t: t, platform: platform.New(0), limits: limits}
 	f.platformServer = httptest.NewServer(f.platform.ReadHandler())
 	t.Cleanup(f.platformServer.Close)
 	t.Cleanup(f.platformServer.CloseClientConnections)
-	b, err := backend.Start(backend.Config{Listen: "127.0.0.1:0", ServiceTime: "const:1"})
+	config.Listen = "127.0.0.1:0"
+	b, err := backend.Start(config)
 	require.NoError(t, err)
 	t.Cleanup(b.Close)
 	f.backend = b
-	require.NoError(t, f.platform.Publish([]byte(treeText)))
+	require.NoError(t, f.platform.Publish([]byte(tree)))
 	list := []platform.Instance{{Name: "b", Kind: "backend", Service: "shop", Address: b.Address(), FailureDomain: "fd-0", State: "live"}}
 	for i := range entries {
 		list = append(list, platform.Instance{Name: fmt.Sprintf("e-%d", i), Kind: "entry", Address: loopbackIP(i) + ":7001", FailureDomain: "fd-0", State: "live", Ordinal: i})
@@ -102,8 +109,12 @@
 	for j := range entries {
 		peers = append(peers, loopbackIP(j)+":7001")
 	}
+	limits := f.limits
+	if limits == nil {
+		limits = map[string]int{}
+	}
 	text, err := json.Marshal(map[string]any{
-		"instance": fmt.Sprintf("e-%d", i), "region": "r", "failureDomain": "fd-0", "ordinal": i,
+		"limits": limits, "instance": fmt.Sprintf("e-%d", i), "region": "r", "failureDomain": "fd-0", "ordinal": i,
 		"listen":   map[string]string{"callers": loopbackIP(i) + ":7000", "peers": loopbackIP(i) + ":7001", "operators": loopbackIP(i) + ":7002"},
 		"platform": f.platformServer.URL, "seedPeers": peers,
 		"secrets":  map[string]any{"keySigning": []string{strings.Repeat("k", 32)}, "peer": strings.Repeat("p", 16), "operator": strings.Repeat("o", 16)},
