Bound the memory that the heads of all connections hold

net/http built a map while a head arrived, and nothing bounded the sum over the connections nor fields that the reader does not pass on, so unfinished heads filled the memory. The reader now holds a head back until it is complete, counts all its bytes, takes what it holds above 4 KiB from one budget (limits.headMemoryBytes) and closes the connection whose head is unfinished for longest when others need it; buffers are reused, and memoryBytes (memory-mb on the platform) makes collections more frequent near the limit.

--- a/cmd/lentilpin-entry/main.go
+++ b/cmd/lentilpin-entry/main.go
@@ -107,6 +107,10 @@
 	return platformSettings.Entry, nil
 }
 
+// memoryLimitRatio is the share of the instance's memory for what the runtime manages; the
+// rest is for the program itself and for what the kernel counts to the process.
+const memoryLimitRatio = 0.85
+
 // run serves until the first SIGTERM or SIGINT, which starts a graceful shutdown. A
 // further SIGINT ends the process at once with buildinfo.ExitAborted. A further SIGTERM
 // has no effect: supervisors repeat it, and requests in progress would be cut off.
@@ -123,6 +127,9 @@
 	log.SetOutput(logWriter)
 
 	debug.SetGCPercent(p.settings.Limits.GCPercent)
+	if n := p.settings.Limits.MemoryBytes; n > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(n)))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -5,6 +5,7 @@
 package static
 
 import (
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"net/netip"
@@ -79,6 +80,21 @@
 	// BodyMemoryBytes is the memory that the bodies of all requests of callers may hold
 	// together; default 268435456. Requests wait for it, or are refused as not run.
 	BodyMemoryBytes int `json:"bodyMemoryBytes"`
+	// HeadMemoryBytes is the memory that heads of requests above 4 KiB may hold together.
+	// Default an eighth of BodyMemoryBytes; at least that of two heads of MaxHeaderBytes.
+	HeadMemoryBytes int `json:"headMemoryBytes"`
+	// MemoryBytes is the memory of the instance; collections of garbage are more frequent
+	// near it. Default 0: unknown.
+	MemoryBytes int `json:"memoryBytes"`
+}
+
+// defaultHeadShare is the part of the memory for bodies that is the default of that for
+// heads.
+const defaultHeadShare = 8
+
+// HeadMemory returns the memory for heads in bytes.
+func (l *Limits) HeadMemory() int64 {
+	return int64(max(cmp.Or(l.HeadMemoryBytes, l.BodyMemoryBytes/defaultHeadShare), 2*l.MaxHeaderBytes))
 }
 
 // Shutdown holds the settings of a graceful shutdown.
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -105,7 +105,7 @@
 		OrdinalConflict: func() bool { return e.memberTable.OrdinalConflict() },
 		Instances:       func() int { return e.memberTable.LiveInstances() },
 		Ready:           e.canServe,
-		BodyMemoryBytes: int64(conf.Limits.BodyMemoryBytes),
+		Limits:          conf.Limits,
 		Peers:           acceptors{e},
 		PeerSecret:      conf.Secrets.Peer,
 		NotifyPeers:     func() { e.memberTable.NotifyPeers() },
--- a/pkg/framing/doc.go
+++ b/pkg/framing/doc.go
@@ -13,5 +13,11 @@
 // handler responds with 400 and closes the connection (see Error). If not even the first
 // line is that of a request, net/http refuses it.
 //
-// State: of one connection, at most one line.
+// A head is held back until it is complete, up to a size, and what the heads of all
+// connections need comes from one limit.Budget. This answers callers that send heads
+// without end: an unfinished head costs its bytes only, and the one that is unfinished for
+// longest gives way. A head that is over a limit is passed on without its fields and with a
+// mark (see IsOverLimit).
+//
+// State: of one connection, at most one head.
 package framing
--- a/pkg/framing/framing_test.go
+++ b/pkg/framing/framing_test.go
@@ -6,19 +6,24 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
+
+	"lentilpin/pkg/limit"
+	"lentilpin/standin/pipe"
 )
 
-const maxLineBytes = 300
+const maxHeadBytes = 300
 
 // read feeds a stream in pieces of at most size bytes and returns what net/http reads of
 // the result, a line for each request.
 func read(stream string, size int) (out []string, passedOn string) {
-	r := reader{maxLineBytes: maxLineBytes}
+	r := newReader(maxHeadBytes, unlimited{})
 	for len(stream) > 0 {
 		n := min(size, len(stream))
 		r.feed([]byte(stream[:n]))
@@ -112,8 +117,8 @@
 		{"bare line feed behind a chunk", head(chunked) + "5\r\n12345\n0\r\n\r\n" + hidden, broken},
 		{"trailer that is no field", head(chunked) + "0\r\nGET /hidden HTTP/1.1\r\n\r\n", broken},
 		{"long line before a chunk", head(chunked) + "5;" + strings.Repeat("x", maxChunkLineBytes+1), broken},
-		{"long trailer", head(chunked) + "0\r\nX: " + strings.Repeat("x", maxLineBytes), broken},
-		{"many trailers", head(chunked) + "0\r\n" + strings.Repeat("X: y\r\n", maxLineBytes) + "\r\n" + hidden, broken},
+		{"long trailer", head(chunked) + "0\r\nX: " + strings.Repeat("x", maxHeadBytes), broken},
+		{"many trailers", head(chunked) + "0\r\n" + strings.Repeat("X: y\r\n", maxHeadBytes) + "\r\n" + hidden, broken},
 		{"expectation", head("Expect: 100-continue\r\nContent-Length: 2\r\n") + "ok" + second, []string{`POST /a "ok"`, `GET /b ""`}},
 		{"upgrade", head("Connection: upgrade\r\nUpgrade: websocket\r\n") + second, []string{`POST /a ""`, `GET /b ""`}},
 		{"mark of the reader", head(ErrorField+": no\r\nContent-Length: 1\r\n") + "x", []string{`POST /a "x"`}},
@@ -138,16 +143,99 @@
 	}
 }
 
-// Guards against a line of a head that is kept without bound, and against a refusal by
-// the server that is missing because of it.
-func TestOverlongLine(t *testing.T) {
-	r := reader{maxLineBytes: maxLineBytes}
-	r.feed([]byte("GET /a HTTP/1.1\r\nX: "))
-	for range 100 {
-		r.feed([]byte(strings.Repeat("y\r", 50)))
-		require.LessOrEqual(t, len(r.line), maxLineBytes+100)
+// Guards against a head that is kept without bound, whatever of it is too long and however
+// it arrives, and against one that is refused as anything but a whole request.
+func TestHeadsOverALimit(t *testing.T) {
+	long := strings.Repeat("y\r", maxHeadBytes)
+	for _, tt := range []struct{ desc, stream, want string }{
+		{"method", strings.Repeat("G", 2*maxHeadBytes), "refused /"},
+		{"target", "GET /" + strings.Repeat("a", 2*maxHeadBytes), "refused /aaa"},
+		{"target behind a long method", "OPTIONS /" + strings.Repeat("a", 2*maxHeadBytes), "refused /"},
+		{"line", "GET /a HTTP/1.1\r\nX: " + long, "refused /a"},
+		{"fields", "GET /a HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", maxHeadBytes), "refused /a"},
+		{"fields that are not passed on", "GET /a HTTP/1.1\r\n" + strings.Repeat("Content-Length: 1\r\n", maxHeadBytes), "refused /a"},
+		{"lines that are no fields", "GET /a HTTP/1.1\r\n" + strings.Repeat("X\r\n", maxHeadBytes), "refused /a"},
+		{"empty lines", strings.Repeat("\r\n", maxHeadBytes), "no request"},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			for _, size := range []int{1, 7, 5 * maxHeadBytes} {
+				r := newReader(maxHeadBytes, unlimited{})
+				for rest := tt.stream + "\r\n\r\n" + hidden; len(rest) > 0; rest = rest[min(size, len(rest)):] {
+					r.feed([]byte(rest[:min(size, len(rest))]))
+					require.LessOrEqual(t, len(r.line)+len(r.pending), maxHeadBytes+size)
+				}
+				got, passedOn := read(tt.stream+"\r\n\r\n"+hidden, size)
+				require.Equal(t, []string{tt.want}, got)
+				require.NotContains(t, passedOn, "hidden")
+			}
+		})
+	}
+	for prompt := range len("A / HTTP/1.0\r\n") {
+		start := "A / HTTP/1.0\r\n"[:prompt]
+		_, err := http.ReadRequest(bufio.NewReader(strings.NewReader(start + restOfFirstLine([]byte(start)) + "\r\n")))
+		require.Equal(t, prompt == 0, err != nil, start)
+	}
+}
+
+// Guards against heads of many connections that together hold more than the memory for
+// heads, against one with a small head that gives way, and against a head within the limit
+// that is refused without other load.
+func TestHeadMemory(t *testing.T) { synctest.Test(t, testHeadMemory) }
+
+func testHeadMemory(t *testing.T) {
+	const size = 64 << 10
+	heads := limit.NewBudget(size, 0)
+	inner := pipe.NewListener()
+	l := NewListener(inner, size, heads)
+	connect := func(text string) *conn {
+		caller, server := net.Pipe()
+		t.Cleanup(func() { _ = caller.Close() })
+		go func() {
+			_ = inner.Connect(t.Context(), server)
+			_, _ = io.WriteString(caller, text)
+		}()
+		accepted, err := l.Accept()
+		require.NoError(t, err)
+		return accepted.(*conn)
+	}
+	readHead := func(c *conn) (string, error) {
+		request, err := http.ReadRequest(bufio.NewReaderSize(c, 4096))
+		if err != nil {
+			return "", err
+		}
+		reason, _ := IsOverLimit(request)
+		return reason, nil
+	}
+	start := "GET /a HTTP/1.1\r\nHost: h\r\nX: "
+	errs := make(chan error)
+	for range 4 {
+		c := connect(start + strings.Repeat("x", size/2))
+		go func() {
+			reason, err := readHead(c)
+			if reason == NoMemory {
+				err = errors.New(reason) // closed while it read
+			}
+			errs <- err
+		}()
+	}
+	for range 3 { // the last one holds its head
+		require.Error(t, <-errs)
+		require.LessOrEqual(t, heads.Stats().Held, int64(size))
 	}
-	require.Greater(t, len(r.out), 90*100, "net/http counts the bytes of a head")
-	r.feed([]byte("\r\n\r\n" + hidden))
-	require.NotContains(t, string(r.out), "hidden")
+	synctest.Wait()
+	small := connect(start + "x\r\n\r\n")
+	reason, err := readHead(small)
+	require.NoError(t, err)
+	require.Empty(t, reason)
+	whole := connect(start + strings.Repeat("x", size-100) + "\r\n\r\n")
+	reason, err = readHead(whole)
+	require.NoError(t, err)
+	require.Empty(t, reason)
+	require.Error(t, <-errs)
+	other := connect(start + strings.Repeat("x", size-100) + "\r\n\r\n")
+	reason, err = readHead(other)
+	require.NoError(t, err)
+	require.Equal(t, NoMemory, reason, "the head of a request in progress does not give way")
+	whole.RequestEnded()
+	require.Zero(t, heads.Stats().Held)
 }
--- a/pkg/framing/head.go
+++ b/pkg/framing/head.go
@@ -62,11 +62,14 @@
 	return lineGoesOn
 }
 
+// maxRepeats is how many values of a field are kept: two of one that must not repeat.
+const maxRepeats = 2
+
 // head holds what the fields of a request say about its framing.
 type head struct {
 	isHTTP10  bool
-	lengths   []string // values of Content-Length
-	encodings []string // values of Transfer-Encoding
+	lengths   []string // values of Content-Length, at most maxRepeats
+	encodings []string // values of Transfer-Encoding, at most maxRepeats
 	err       string   // the first reason why the framing is not certain
 }
 
@@ -91,17 +94,24 @@
 	switch {
 	case !ok:
 		h.fail("a line is no header field")
-	case strings.EqualFold(name, "Content-Length"):
-		h.lengths = append(h.lengths, value)
-	case strings.EqualFold(name, "Transfer-Encoding"):
-		h.encodings = append(h.encodings, value)
-	case strings.EqualFold(name, ErrorField):
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		h.lengths = appendValue(h.lengths, value)
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		h.encodings = appendValue(h.encodings, value)
+	case bytes.EqualFold(name, []byte(ErrorField)):
 	default:
 		return true
 	}
 	return false
 }
 
+func appendValue(values []string, value []byte) []string {
+	if len(values) == maxRepeats {
+		return values
+	}
+	return append(values, string(value))
+}
+
 // framing applies RFC 9112, sections 6.1 and 6.3. What a recipient may repair is refused.
 func (h *head) framing() framing {
 	f := framing{err: h.err}
@@ -126,12 +136,12 @@
 
 // parseField splits a field line. Names are tokens right before the colon, and values
 // have no control characters but tabs (RFC 9110, section 5).
-func parseField(line []byte) (name, value string, ok bool) {
+func parseField(line []byte) (name, value []byte, ok bool) {
 	n, v, ok := bytes.Cut(line, []byte(":"))
 	if !ok || len(n) == 0 || !every(n, isToken) || !every(v, isFieldByte) {
-		return "", "", false
+		return nil, nil, false
 	}
-	return string(n), string(bytes.Trim(v, " \t")), true
+	return n, bytes.Trim(v, " \t"), true
 }
 
 func parseLength(s string) (uint64, bool) {
--- a/pkg/framing/reader.go
+++ b/pkg/framing/reader.go
@@ -16,8 +16,7 @@
 	inChunk
 	inChunkEnd // the CRLF behind a chunk
 	inTrailers
-	inOverlongLine // of a head; the server refuses a head of that length
-	refused        // no further byte is passed on
+	refused // no further byte is passed on
 )
 
 // maxChunkLineBytes bounds the line before a chunk, with its extensions.
@@ -28,21 +27,54 @@
 	malformedFirstLine = " \x00\r\n\r\n"
 	// malformedChunk is the line before a chunk that net/http refuses.
 	malformedChunk = "\x00\r\n"
+	// promptBytes is how much of a first line is passed on at once, so that a request that
+	// has begun to arrive is known to have begun. net/http waits for four bytes.
+	promptBytes = 8
+	// refusedHost stands in for the field that net/http requires, in a head that is refused
+	// before its fields are passed on.
+	refusedHost = "Host: refused.invalid\r\n"
+	// fieldMemoryBytes is what net/http needs for a field besides its bytes.
+	fieldMemoryBytes = 160
 )
 
-// reader reads the requests on a connection and writes them to out in certain framing.
+// memory bounds what the heads of all connections need. A nil memory has no bound.
+type memory interface {
+	// hold states the bytes that the current head needs as long as it is unfinished. It
+	// returns false if they are not free.
+	hold(bytes int) bool
+	// keep states what the head needs until its request has ended.
+	keep(bytes int) bool
+}
+
+type unlimited struct{}
+
+func (unlimited) hold(int) bool { return true }
+func (unlimited) keep(int) bool { return true }
+
+// reader reads the requests on a connection and writes them to out in certain framing. It
+// holds a head back until it is complete, so that an unfinished head costs its bytes and
+// not what net/http makes of them.
 type reader struct {
-	maxLineBytes int
+	maxHeadBytes int // of a head, and of the trailers of a request
+	memory       memory
 	out          []byte
 
 	state     state
 	first     firstLine
 	line      []byte // the beginning of the current line, unless it is the first of a request
+	pending   []byte // the current head without its prompt bytes and without line
+	headBytes int    // read of the current head
+	prompt    []byte // of the first line, those that were passed on
+	fields    int    // of the current head
 	head      head
 	remaining uint64 // bytes of the current body or chunk
 	trailers  int    // bytes of the trailers read so far
 }
 
+func newReader(maxHeadBytes int, m memory) reader {
+	return reader{maxHeadBytes: maxHeadBytes, memory: m}
+}
+
 // feed reads the next bytes of the connection.
 func (r *reader) feed(in []byte) {
 	for len(in) > 0 && r.state != refused {
@@ -51,32 +83,86 @@
 			in = r.readFirstLine(in)
 		case inBody, inChunk:
 			in = r.readData(in)
-		case inOverlongLine:
-			r.out = append(r.out, bytes.Repeat([]byte("x"), len(in))...)
-			return
 		default:
 			in = r.readLine(in)
 		}
 	}
+	if r.state != refused && !r.memory.hold(cap(r.pending)+cap(r.line)) {
+		r.refuse(NoMemory)
+	}
 }
 
-// readFirstLine passes the first line on byte by byte, so that a request that has begun to
-// arrive is known to have begun.
+// drop gives up the memory of an unfinished head of a closed connection.
+func (r *reader) drop() {
+	recycle(r.pending)
+	recycle(r.line)
+	r.pending, r.line, r.state = nil, nil, refused
+}
+
+// refuse refuses an unfinished head or unfinished trailers for the given reason.
+func (r *reader) refuse(reason string) {
+	switch r.state {
+	case inFirstLine:
+		if r.headBytes == 0 {
+			return
+		}
+		r.out = append(r.out, restOfFirstLine(r.prompt)...)
+		r.refuseHead(reason)
+	case inFields:
+		first, _, _ := bytes.Cut(r.pending, []byte("\n"))
+		r.out = append(append(append(r.out, first...), '\n'), refusedHost...)
+		r.refuseHead(reason)
+	case inBody, inChunk:
+	default:
+		r.refuseBody()
+	}
+}
+
+// refuseHead ends the head with the mark of a refused request.
+func (r *reader) refuseHead(reason string) {
+	r.out = append(append(append(r.out, ErrorField+": "...), reason...), "\r\n\r\n"...)
+	r.drop()
+}
+
+// restOfFirstLine completes a first line of which only start was passed on.
+func restOfFirstLine(start []byte) string {
+	const ending = " HTTP/1.0\r\n"
+	parts := bytes.SplitN(start, []byte(" "), 3)
+	switch {
+	case len(parts) == 3:
+		return ending[1+len(parts[2]):]
+	case len(parts) == 1:
+		return " /" + ending
+	case len(parts[1]) == 0:
+		return "/" + ending
+	}
+	return ending
+}
+
+// readFirstLine passes the beginning of the first line on byte by byte.
 func (r *reader) readFirstLine(in []byte) (rest []byte) {
 	for i, c := range in {
-		switch r.first.next(c) {
-		case lineGoesOn:
-			r.out = append(r.out, c)
-		case lineIsComplete:
+		progress := r.first.next(c)
+		if progress == lineIsMalformed {
+			r.out = append(r.out, malformedFirstLine...)
+			r.drop()
+			return nil
+		}
+		if r.headBytes++; r.headBytes > r.maxHeadBytes {
+			r.refuse(TooLarge)
+			return nil
+		}
+		if len(r.prompt) < promptBytes {
+			r.prompt = append(r.prompt, c)
 			r.out = append(r.out, c)
+		} else {
+			r.pending = append(grow(r.pending, 1), c)
+		}
+		if progress == lineIsComplete {
 			r.head = head{isHTTP10: r.first.isHTTP10()}
 			r.first = firstLine{}
 			r.state = inFields
 			return in[i+1:]
-		case lineIsMalformed:
-			r.out = append(r.out, malformedFirstLine...)
-			r.state = refused
-			return nil
 		}
 	}
 	return nil
@@ -100,26 +186,40 @@
 func (r *reader) readLine(in []byte) (rest []byte) {
 	end := bytes.IndexByte(in, '\n')
 	if end < 0 {
+		if r.state == inFields {
+			r.headBytes += len(in)
+		}
+		r.line = grow(r.line, len(in))
 		r.line = append(r.line, in...)
-		r.checkLineLength()
+		r.checkLength()
 		return nil
 	}
+	if r.state == inFields {
+		if r.headBytes += end + 1; r.headBytes > r.maxHeadBytes {
+			r.refuse(TooLarge)
+			return nil
+		}
+	}
 	line := in[:end+1]
 	if len(r.line) > 0 {
-		line = append(r.line, line...)
+		r.line = append(grow(r.line, len(line)), line...)
+		line = r.line
 	}
 	text, isTerminated := bytes.CutSuffix(line, []byte("\r\n"))
 	r.finishLine(text, isTerminated)
+	recycle(r.line)
 	r.line = nil
 	return in[end+1:]
 }
 
-// checkLineLength refuses a line that is too long before its end has arrived.
-func (r *reader) checkLineLength() {
+// checkLength refuses what is too long before its end has arrived.
+func (r *reader) checkLength() {
 	switch {
-	case r.state == inFields && len(r.line) > r.maxLineBytes:
-		r.line, r.state = nil, inOverlongLine
-	case r.state == inTrailers && r.trailers+len(r.line) > r.maxLineBytes, r.state != inFields && r.state != inTrailers && len(r.line) > maxChunkLineBytes:
+	case r.state == inFields:
+		if r.headBytes > r.maxHeadBytes {
+			r.refuse(TooLarge)
+		}
+	case r.state == inTrailers && r.trailers+len(r.line) > r.maxHeadBytes, r.state != inTrailers && len(r.line) > maxChunkLineBytes:
 		r.refuseBody()
 	}
 }
@@ -153,8 +253,9 @@
 		r.head.fail("a line ends with a line feed alone")
 		return
 	}
+	r.fields++
 	if r.head.add(line) {
-		r.out = append(append(r.out, line...), "\r\n"...)
+		r.pending = append(append(grow(r.pending, len(line)+2), line...), "\r\n"...)
 	}
 }
 
@@ -163,19 +264,25 @@
 		r.head.fail("a line ends with a line feed alone")
 	}
 	f := r.head.framing()
+	if !r.memory.keep(2*r.headBytes + r.fields*fieldMemoryBytes) {
+		r.refuse(NoMemory)
+		return
+	}
 	switch {
 	case f.err != "":
-		r.out = append(append(append(r.out, ErrorField+": "...), f.err...), "\r\n"...)
+		r.pending = append(append(append(r.pending, ErrorField+": "...), f.err...), "\r\n"...)
 		r.state = refused
 	case f.isChunked:
-		r.out = append(r.out, "Transfer-Encoding: chunked\r\n"...)
+		r.pending = append(r.pending, "Transfer-Encoding: chunked\r\n"...)
 		r.state = inChunkSize
 	case f.hasLength:
-		r.out = strconv.AppendUint(append(r.out, "Content-Length: "...), f.length, 10)
-		r.out = append(r.out, "\r\n"...)
+		r.pending = strconv.AppendUint(append(r.pending, "Content-Length: "...), f.length, 10)
+		r.pending = append(r.pending, "\r\n"...)
 		r.state, r.remaining = inBody, f.length
 	}
-	r.out = append(r.out, "\r\n"...)
+	r.out = append(append(r.out, r.pending...), "\r\n"...)
+	recycle(r.pending)
+	r.pending, r.headBytes, r.prompt, r.fields = nil, 0, nil, 0
 	if r.state != refused && r.state != inChunkSize && r.remaining == 0 {
 		r.state = inFirstLine
 	}
@@ -197,7 +304,7 @@
 // finishTrailer drops a trailer. The body ends with the empty line.
 func (r *reader) finishTrailer(line []byte) {
 	r.trailers += len(line)
-	if _, _, ok := parseField(line); len(line) > 0 && (!ok || r.trailers > r.maxLineBytes) {
+	if _, _, ok := parseField(line); len(line) > 0 && (!ok || r.trailers > r.maxHeadBytes) {
 		r.refuseBody()
 		return
 	}
@@ -210,5 +317,5 @@
 // refuseBody ends a chunked body with an error.
 func (r *reader) refuseBody() {
 	r.out = append(r.out, malformedChunk...)
-	r.state, r.line = refused, nil
+	r.drop()
 }
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -14,8 +14,6 @@
 	// smallBodyBytes is the size of bodies up to which they need no part of the memory for
 	// bodies, so that small requests do not wait behind uploads.
 	smallBodyBytes = 16 << 10
-	// defaultBodyMemoryBytes is the memory for bodies if Options state none.
-	defaultBodyMemoryBytes = 256 << 20
 	// bodyMemoryShare is the share of the remaining time for which a request waits for
 	// memory: its body has still to arrive.
 	bodyMemoryShare = 0.5
--- a/pkg/gateway/bounds_test.go
+++ b/pkg/gateway/bounds_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/limit"
 	"lentilpin/standin/pipe"
 )
@@ -54,6 +55,7 @@
 func TestRequestsWaitForBodyMemory(t *testing.T) {
 	runInVirtualTime(t, 2, func(t *testing.T, f *fixture) {
 		g := f.gateways[0]
+		bodyMemoryBytes := int64(static.Defaults().Limits.BodyMemoryBytes)
 		large := func(token string) (response, time.Duration) {
 			r := httptest.NewRequest(http.MethodPost, "/shop/orders/"+token, strings.NewReader(strings.Repeat("x", 2*smallBodyBytes)))
 			r.Header.Set(pipe.TokenHeader, token)
@@ -62,7 +64,7 @@
 			start := time.Now()
 			return f.send(g, r), time.Since(start)
 		}
-		taken, err := g.bodyMemory.Take(t.Context(), 2*defaultBodyMemoryBytes)
+		taken, err := g.bodyMemory.Take(t.Context(), 2*bodyMemoryBytes)
 		require.NoError(t, err)
 		got, waited := large("a")
 		require.Equal(t, http.StatusServiceUnavailable, got.Code)
@@ -75,7 +77,7 @@
 		require.Equal(t, http.StatusOK, got.Code)
 		require.Equal(t, 200*time.Millisecond, waited)
 		require.Zero(t, f.countRuns("a"))
-		_, err = g.bodyMemory.Take(t.Context(), defaultBodyMemoryBytes)
+		_, err = g.bodyMemory.Take(t.Context(), bodyMemoryBytes)
 		require.NoError(t, err, "all is free again")
 	})
 }
--- /dev/null
+++ b/pkg/gateway/caller_limits.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"lentilpin/pkg/audit"
+	"lentilpin/pkg/config/static"
+	"lentilpin/pkg/events"
+	"lentilpin/pkg/framing"
+	"lentilpin/pkg/limit"
+)
+
+// callerLimits bounds what is held for callers that may never finish a request or never
+// read a response.
+type callerLimits struct {
+	heads   *limit.Budget
+	reports limitReports
+}
+
+func newCallerLimits(scope tally.Scope, limits static.Limits) *callerLimits {
+	l := &callerLimits{heads: limit.NewBudget(limits.HeadMemory(), 0), reports: limitReports{scope: scope}}
+	l.reports.watch(eventHeadLimit, "heads_closed", func() uint64 { return l.heads.Stats().GaveWay })
+	return l
+}
+
+// refuseOverLimit responds to requests whose heads are over a limit. They are not counted
+// as accepted: not even their identifier is known. They have not run, but an earlier
+// request with a key that was not read may have.
+func (l *callerLimits) refuseOverLimit(g *Gateway, next http.Handler) http.Handler {
+	var refused atomic.Uint64
+	l.reports.watch(eventHeadLimit, "heads_refused", refused.Load)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reason, isOver := framing.IsOverLimit(r)
+		if !isOver {
+			next.ServeHTTP(w, r)
+			return
+		}
+		refused.Add(1)
+		res := notRunResult(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge, reason)
+		if reason == framing.NoMemory {
+			res = notRunResult(http.StatusServiceUnavailable, reasonHeaderMemory, reason).withRetryAfter()
+		}
+		if r.Method != http.MethodGet && r.Method != http.MethodHead && r.Method != http.MethodOptions {
+			res.run = audit.Unknown
+		}
+		res.keyState = keyStateNone
+		w.Header().Set("Connection", "close")
+		w.Header().Set(runHeader, string(res.run))
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+		writeProblem(w, g.current.Load().callers, g.nextRequestID(), res)
+	})
+}
+
+// limitReportInterval bounds the events about limits: callers cause any number of cases.
+const limitReportInterval = 10 * time.Second
+
+// limitReports counts the cases in which limits were met in the metrics and reports them
+// as events, at most one for each limit in limitReportInterval.
+type limitReports struct {
+	scope tally.Scope
+
+	mu      sync.Mutex
+	watched []*watchedLimit
+	last    time.Duration
+}
+
+type watchedLimit struct {
+	event    *events.Event
+	name     string
+	count    func() uint64
+	counter  tally.Counter
+	reported uint64
+}
+
+// watch adds a limit. count returns the cases since the start.
+func (r *limitReports) watch(e *events.Event, name string, count func() uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.watched = append(r.watched, &watchedLimit{event: e, name: name, count: count, counter: r.scope.Counter(name)})
+}
+
+// report reports the cases since the last report, if that is due.
+func (r *limitReports) report(now time.Duration, recorder events.Recorder) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now-r.last < limitReportInterval {
+		return
+	}
+	r.last = now
+	for _, w := range r.watched {
+		n := w.count()
+		if n == w.reported {
+			continue
+		}
+		w.counter.Inc(int64(n - w.reported))
+		recorder.Record(w.event, events.F("limit", w.name), events.F("cases", n-w.reported))
+		w.reported = n
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/limit"
@@ -71,9 +72,8 @@
 	// therefore called for every request.
 	Ready func() (bool, string)
 
-	// BodyMemoryBytes is the memory that the bodies of all requests may hold together; 0:
-	// 256 MiB. A larger body takes all of it.
-	BodyMemoryBytes int64
+	// Limits holds the limits of what is held for callers; default static.Defaults.
+	Limits static.Limits
 
 	// Permits obtains the permits for requests to rate-limited backend servers.
 	Permits ratelimit.Source
@@ -110,6 +110,7 @@
 	drain      drainState
 	wasReady   atomic.Bool // since the start
 	bodyMemory *limit.Memory
+	limits     *callerLimits
 	inFlight   atomic.Int64
 	background taskTracker
 
@@ -120,13 +121,15 @@
 // New returns a gateway that applies each settings tree that options.Store
 // adopts.
 func New(options Options) *Gateway {
+	limits := cmp.Or(options.Limits, static.Defaults().Limits)
 	g := &Gateway{
 		options: options, owner: options.Owner, claimant: options.Claimant, auditLog: options.Log,
 		start:           time.Now(),
 		drain:           newDrainState(),
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
-		bodyMemory:      limit.NewMemory(cmp.Or(options.BodyMemoryBytes, defaultBodyMemoryBytes)),
+		bodyMemory:      limit.NewMemory(int64(limits.BodyMemoryBytes)),
+		limits:          newCallerLimits(options.Scope, limits),
 	}
 	g.current.Store(&snapshot{callers: newCallerConfig(&options.Callers)})
 	options.Store.Subscribe(g.applySettings)
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -31,13 +31,13 @@
 // NewHandoffServer returns the HTTP server for requests that peers hand on, on l.
 func NewHandoffServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
 	return drain.NewServer(&http.Server{
-		Handler:           closeIfUncertain(http.HandlerFunc(g.serveHandedOn)),
-		MaxHeaderBytes:    limits.MaxHeaderBytes + handoffHeaderBytes,
+		Handler:           g.limits.refuseOverLimit(g, closeIfUncertain(http.HandlerFunc(g.serveHandedOn))),
+		MaxHeaderBytes:    limits.MaxHeaderBytes + headSlopBytes + handoffHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
-	}, framing.NewListener(netutil.LimitListener(l, maxHandoffConnections), limits.MaxHeaderBytes+handoffHeaderBytes))
+	}, framing.NewListener(netutil.LimitListener(l, maxHandoffConnections), limits.MaxHeaderBytes+headSlopBytes+handoffHeaderBytes, g.limits.heads))
 }
 
 // handoffHeaderBytes is the size of the fields that the first instance adds.
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -12,6 +12,7 @@
 	reasonUnknownService = "unknown_service"
 	reasonUnknownRoute   = "unknown_route"
 	reasonHeaderTooLarge = "header_too_large"
+	reasonHeaderMemory   = "header_memory"
 	reasonIDRequired     = "request_id_required"
 	reasonNotReady       = "not_ready"
 	reasonUnconfirmed    = "settings_unconfirmed"
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -34,6 +34,7 @@
 // the probe budget, so no probes are sent.
 func (g *Gateway) runPeriodic(ctx context.Context, tick int, probes *sync.WaitGroup) {
 	suspended := g.options.OrdinalConflict()
+	g.limits.reports.report(g.now(), g.options.Recorder)
 	isSlowRound := tick/ticksPerRound%roundsPerIdleVisit == 0
 	// Counting the instances walks the member table: once in a tick is enough.
 	instances := sync.OnceValue(g.options.Instances)
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -21,6 +21,10 @@
 // can issue.
 const maxKeysPerRequest = 100
 
+// headSlopBytes is what the reader of heads and net/http accept beyond the limit, so that
+// white space does not count.
+const headSlopBytes = 4096
+
 // keysPath is the path that issues idempotency keys.
 const keysPath = "/.lentilpin/keys"
 
@@ -33,7 +37,7 @@
 // log of the server is discarded because callers can cause any number of lines in it.
 func NewServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
 	limited := netutil.LimitListener(l, limits.MaxConnections)
-	return drain.NewServer(newCallerServer(g, limits), framing.NewListener(limited, limits.MaxHeaderBytes))
+	return drain.NewServer(newCallerServer(g, limits), framing.NewListener(limited, limits.MaxHeaderBytes+headSlopBytes, g.limits.heads))
 }
 
 func newCallerServer(g *Gateway, limits static.Limits) *http.Server {
@@ -41,15 +45,15 @@
 	e.HideBanner, e.HidePort = true, true
 	e.POST(keysPath, g.issueKeys)
 	return &http.Server{
-		Handler: closeIfUncertain(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Handler: g.limits.refuseOverLimit(g, closeIfUncertain(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodPost && r.URL.Path == keysPath {
 				e.ServeHTTP(w, r)
 				return
 			}
 			// echo would refuse methods that it doesn't know, and targets without a path.
 			g.ServeHTTP(w, r)
-		})),
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		}))),
+		MaxHeaderBytes:    limits.MaxHeaderBytes + headSlopBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
--- a/pkg/gateway/service_test.go
+++ b/pkg/gateway/service_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/routing"
 )
@@ -26,7 +27,7 @@
 // lowered.
 func TestServiceReportsAndFollowsSettings(t *testing.T) {
 	var log lineRecorder
-	g := &Gateway{options: Options{Recorder: &log, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, NotifyPeers: func() {}, Instances: func() int { return 1 }}, start: time.Now()}
+	g := &Gateway{limits: newCallerLimits(tally.NoopScope, static.Defaults().Limits), options: Options{Recorder: &log, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, NotifyPeers: func() {}, Instances: func() int { return 1 }}, start: time.Now()}
 	tree, err := dynamic.Parse([]byte(treeText))
 	require.NoError(t, err)
 	s, err := newService(g, "shop", 1, &tree.Lookup("r", "shop").Service)
@@ -60,7 +61,7 @@
 func TestInstancesAreCountedOncePerTick(t *testing.T) {
 	counted := 0
 	countInstances := func() int { counted++; return 3 }
-	g := &Gateway{options: Options{Recorder: events.Discard{}, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, NotifyPeers: func() {}, Instances: countInstances}, start: time.Now()}
+	g := &Gateway{limits: newCallerLimits(tally.NoopScope, static.Defaults().Limits), options: Options{Recorder: events.Discard{}, Scope: tally.NoopScope, OrdinalConflict: func() bool { return false }, NotifyPeers: func() {}, Instances: countInstances}, start: time.Now()}
 	tree, err := dynamic.Parse([]byte(treeText))
 	require.NoError(t, err)
 	services := map[string]*service{}
--- a/pkg/limit/doc.go
+++ b/pkg/limit/doc.go
@@ -19,6 +19,9 @@
 // leaves. A wake-up that arrives while the queue is empty has no effect and is not
 // needed, because a waiter always tries once when it becomes the oldest.
 //
+// Memory bounds the memory for the bodies of all requests, and Budget what is kept for
+// callers that may never finish: unfinished heads, and responses that are not read.
+//
 // State: local to this instance, lost at process exit. Messages: none.
 //
 // Difference from docs/design.md: Queue.Admit(ctx, try) replaces Wait(ctx).
@@ -26,5 +29,6 @@
 // between the try and the call of Wait would then wake no waiter, and a request whose
 // try fails would lose its position in the queue.
 //
-// Tests: state machine of WaitList against a slice, Queue under synctest.
+// Tests: state machines of WaitList against a slice and of Budget, Queue and Memory under
+// synctest.
 package limit
