Connections without a request give way to new ones

When limits.maxConnections was reached, new callers waited until another connection ended: 250 connections without a request, or with a head of which a byte arrives at a time, kept an ordinary request unanswered for 30 s. A new connection now closes the one that has been idle longest, or else the one whose head is unfinished for longest; requests in progress are left alone. The memory of a complete head is released when its request has ended.

--- a/pkg/drain/conn.go
+++ b/pkg/drain/conn.go
@@ -14,6 +14,8 @@
 	mu        sync.Mutex
 	idleSince time.Time
 	isBusy    bool // bytes have arrived since idleSince
+	busySince time.Time
+	isActive  bool // the head of a request is complete, and the request has not ended
 	isClosed  bool
 }
 
@@ -25,7 +27,9 @@
 	if c.isClosed {
 		return 0, net.ErrClosed
 	}
-	c.isBusy = c.isBusy || n > 0
+	if n > 0 && !c.isBusy {
+		c.isBusy, c.busySince = true, time.Now()
+	}
 	return n, err
 }
 
@@ -40,9 +44,20 @@
 
 // setIdle records that a request has ended and no other one has begun.
 func (c *conn) setIdle(now time.Time) {
+	if inner, ok := c.Conn.(interface{ RequestEnded() }); ok {
+		inner.RequestEnded()
+	}
+	c.mu.Lock()
+	c.idleSince, c.isBusy, c.isActive = now, false, false
+	c.mu.Unlock()
+	c.listener.signalRoom()
+}
+
+// setActive records that the head of a request is complete.
+func (c *conn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idleSince, c.isBusy = now, false
+	c.isActive = true
 }
 
 // closeIfIdle closes the connection if it has been idle for idleWait.
--- a/pkg/drain/doc.go
+++ b/pkg/drain/doc.go
@@ -10,6 +10,9 @@
 // waits for the others until its context ends. Connections that were used or made lately
 // stay open at first, because a request is probably on its way.
 //
+// LimitConnections bounds the open connections under callers that open many and send
+// nothing, or heads without end: idle connections give way to new ones.
+//
 // The handler must send "Connection: close" in its responses while the server drains, so
 // that callers send no further request. Requests that are pipelined behind an unfinished
 // one are not protected.
--- a/pkg/drain/listener.go
+++ b/pkg/drain/listener.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,10 +15,16 @@
 	conns    map[*conn]struct{}
 	draining bool
 	changed  chan struct{} // has a buffer of one; receives when a connection is removed
+
+	maxConns      int           // 0: no limit
+	room          chan struct{} // has a buffer of one; receives when there may be room
+	closed        chan struct{}
+	closeOnce     sync.Once
+	closedForRoom atomic.Uint64
 }
 
 func newListener(l net.Listener) *listener {
-	return &listener{Listener: l, conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1)}
+	return &listener{Listener: l, conns: map[*conn]struct{}{}, changed: make(chan struct{}, 1), room: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -26,6 +33,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.waitForRoom(); err != nil {
+		_ = accepted.Close()
+		return nil, err
+	}
 	c := &conn{Conn: accepted, listener: l, idleSince: time.Now()}
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -33,7 +44,21 @@
 	return c, nil
 }
 
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+func (l *listener) signalRoom() {
+	select {
+	case l.room <- struct{}{}:
+	default:
+	}
+}
+
 func (l *listener) remove(c *conn) {
+	defer l.signalRoom()
 	l.mu.Lock()
 	delete(l.conns, c)
 	l.mu.Unlock()
--- /dev/null
+++ b/pkg/drain/room_test.go
@@ -0,0 +1,68 @@
+package drain
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lentilpin/standin/pipe"
+)
+
+// Guards against idle connections and unfinished heads that keep new callers from being
+// served, against the wrong one being closed, and against one with a request in progress
+// that is.
+func TestConnectionsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := pipe.NewListener()
+		finish := make(chan struct{})
+		s := NewServer(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				<-finish
+			}
+		})}, l)
+		s.LimitConnections(3)
+		var loop sync.WaitGroup
+		loop.Go(func() { require.NoError(t, s.Serve()) })
+		connect := func(text string) (own net.Conn, isClosed func() bool) {
+			own, other := net.Pipe()
+			go func() {
+				_ = l.Connect(t.Context(), other)
+				_, _ = own.Write([]byte(text))
+			}()
+			synctest.Wait()
+			time.Sleep(time.Millisecond)
+			return own, func() bool {
+				_ = own.SetReadDeadline(time.Now().Add(time.Millisecond))
+				_, err := own.Read(make([]byte, 1))
+				netErr, ok := err.(net.Error)
+				return !ok || !netErr.Timeout()
+			}
+		}
+		busy, busyIsClosed := connect("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		_, headIsClosed := connect(requestText[:7])
+		time.Sleep(time.Second)
+		_, idleIsClosed := connect("")
+		first, _ := connect("")
+		require.True(t, roundTrip(first))
+		require.True(t, idleIsClosed(), "the idle one goes first, although it is younger")
+		require.False(t, headIsClosed())
+		_, _ = connect(requestText[:7])
+		require.True(t, s.ClosedForRoom() == 2, "the kept connection is idle, too")
+		second, _ := connect("")
+		require.True(t, roundTrip(second))
+		require.True(t, headIsClosed())
+		require.False(t, busyIsClosed())
+		require.EqualValues(t, 3, s.ClosedForRoom())
+		close(finish)
+		synctest.Wait()
+		_ = busy.Close()
+		s.Close()
+		loop.Wait()
+		synctest.Wait()
+	})
+}
--- a/pkg/drain/server.go
+++ b/pkg/drain/server.go
@@ -32,8 +32,13 @@
 }
 
 func observeState(c net.Conn, state http.ConnState) {
-	if wrapped, ok := c.(*conn); ok && state == http.StateIdle {
+	wrapped, ok := c.(*conn)
+	switch {
+	case !ok:
+	case state == http.StateIdle:
 		wrapped.setIdle(time.Now())
+	case state == http.StateActive:
+		wrapped.setActive()
 	}
 }
 
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/net/netutil"
 
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
@@ -36,8 +35,10 @@
 // NewServer returns the HTTP server for callers on l, with the given limits. The error
 // log of the server is discarded because callers can cause any number of lines in it.
 func NewServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
-	limited := netutil.LimitListener(l, limits.MaxConnections)
-	return drain.NewServer(newCallerServer(g, limits), framing.NewListener(limited, limits.MaxHeaderBytes+headSlopBytes, g.limits.heads))
+	s := drain.NewServer(newCallerServer(g, limits), framing.NewListener(l, limits.MaxHeaderBytes+headSlopBytes, g.limits.heads))
+	s.LimitConnections(limits.MaxConnections)
+	g.limits.reports.watch(eventConnectionLimit, "connections_closed", s.ClosedForRoom)
+	return s
 }
 
 func newCallerServer(g *Gateway, limits static.Limits) *http.Server {
