Cut off responses that their callers do not read

A response that was not read held its buffers and its connection to the backend server until the request's deadline, so 12 callers kept an ordinary request unanswered for 30 s. A part of a response that the caller does not take for responseStallMs (3 s) now ends it; buffers above 4 KiB come from a budget for all responses, whose holder without progress for longest gives way, and the kernel's send buffer is bounded, so that a stall shows after 64 KiB.

--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -83,18 +83,28 @@
 	// HeadMemoryBytes is the memory that heads of requests above 4 KiB may hold together.
 	// Default an eighth of BodyMemoryBytes; at least that of two heads of MaxHeaderBytes.
 	HeadMemoryBytes int `json:"headMemoryBytes"`
+	// ResponseMemoryBytes is the memory that parts of responses above 4 KiB may hold
+	// together until callers take them. Default an eighth of BodyMemoryBytes.
+	ResponseMemoryBytes int `json:"responseMemoryBytes"`
+	ResponseStallMS     int `json:"responseStallMs"` // default 3000; a part of a response that the caller does not take for so long ends it
+	SendBufferBytes     int `json:"sendBufferBytes"` // default 65536; of the kernel, for each connection of a caller
 	// MemoryBytes is the memory of the instance; collections of garbage are more frequent
 	// near it. Default 0: unknown.
 	MemoryBytes int `json:"memoryBytes"`
 }
 
-// defaultHeadShare is the part of the memory for bodies that is the default of that for
-// heads.
-const defaultHeadShare = 8
+// defaultShare is the part of the memory for bodies that is the default of that for
+// heads, and of that for responses.
+const defaultShare = 8
+
+// ResponseMemory returns the memory for responses in bytes.
+func (l *Limits) ResponseMemory() int64 {
+	return int64(cmp.Or(l.ResponseMemoryBytes, l.BodyMemoryBytes/defaultShare))
+}
 
 // HeadMemory returns the memory for heads in bytes.
 func (l *Limits) HeadMemory() int64 {
-	return int64(max(cmp.Or(l.HeadMemoryBytes, l.BodyMemoryBytes/defaultHeadShare), 2*l.MaxHeaderBytes))
+	return int64(max(cmp.Or(l.HeadMemoryBytes, l.BodyMemoryBytes/defaultShare), 2*l.MaxHeaderBytes))
 }
 
 // Shutdown holds the settings of a graceful shutdown.
@@ -113,6 +123,7 @@
 		Limits: Limits{
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
 			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20, BodyMemoryBytes: 256 << 20,
+			ResponseStallMS: 3000, SendBufferBytes: 64 << 10,
 		},
 		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
 		Listen:   Listen{ReadyPath: "/readyz"},
--- a/pkg/gateway/caller_limits.go
+++ b/pkg/gateway/caller_limits.go
@@ -18,13 +18,15 @@
 // callerLimits bounds what is held for callers that may never finish a request or never
 // read a response.
 type callerLimits struct {
-	heads   *limit.Budget
-	reports limitReports
+	heads     *limit.Budget
+	responses *responseLimits
+	reports   limitReports
 }
 
 func newCallerLimits(scope tally.Scope, limits static.Limits) *callerLimits {
 	l := &callerLimits{heads: limit.NewBudget(limits.HeadMemory(), 0), reports: limitReports{scope: scope}}
 	l.reports.watch(eventHeadLimit, "heads_closed", func() uint64 { return l.heads.Stats().GaveWay })
+	l.responses = newResponseLimits(limits, &l.reports)
 	return l
 }
 
--- a/pkg/gateway/doc.go
+++ b/pkg/gateway/doc.go
@@ -18,6 +18,9 @@
 // idempotent. The names of header fields are settings, so that the same steps
 // serve the project's own interface and that of the users' platform.
 //
+// What is held for callers that do not finish a request or do not read a response is
+// bounded in sum (caller_limits.go, slow_reader.go).
+//
 // The same rule decides everywhere between a retry and a refusal: an idempotent
 // request may be sent again within the retry budget; any other request may be
 // sent to a second backend server only if the first one is proven not to have
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -13,6 +13,7 @@
 	eventServiceUnreachable   = events.NewChange(6006, logrus.WarnLevel, "service_unreachable", "no backend server of a service is reached; requests are handed to peers")
 	eventServiceReached       = events.NewChange(6007, logrus.InfoLevel, "service_reached", "a backend server of the service is reached again")
 	eventConnectionLimit      = events.New(6013, logrus.WarnLevel, "caller_connection_limit", "connections of callers were closed to make room for new ones; at most one event in 10 s")
+	eventResponseLimit        = events.New(6014, logrus.WarnLevel, "response_limit", "responses that their callers did not read were cut off; at most one event in 10 s")
 	eventHeadLimit            = events.New(6012, logrus.WarnLevel, "head_limit", "heads of requests were refused, or connections with unfinished heads closed, because of a limit; at most one event in 10 s")
 	eventServerBackoff        = events.New(6005, logrus.InfoLevel, "backend_backoff", "a backend server has refused a request and gets no further ones from this instance for some time")
 	// Each non-idempotent request whose outcome the caller does not know is
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -61,6 +61,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer c.releaseBodyMemory()
+	defer c.releaseResponse()
 	res, ok := c.resolveHandedOn()
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -38,8 +38,9 @@
 	deadline       time.Time
 	target         string // path and query as sent to the backend server
 	body           []byte
-	bodyMemory     int64  // taken from the gateway's memory for bodies
-	fingerprint    uint64 // for the quarantine list
+	bodyMemory     int64    // taken from the gateway's memory for bodies
+	sending        *sending // memory of the response; nil: none was needed
+	fingerprint    uint64   // for the quarantine list
 	record         audit.Record
 	grant          *ledger.Claim   // of the request's key; nil: it has none
 	handoff        *handoff        // set if a peer has handed the request to this instance
@@ -62,6 +63,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer c.releaseBodyMemory()
+	defer c.releaseResponse()
 
 	var res result
 	ok := false
@@ -97,6 +99,7 @@
 	if res.outcome == audit.OutcomeAborted && res.status == 0 {
 		c.answerGoneCaller(res)
 	}
+	c.limitWrite() // net/http sends the rest of the response later
 	c.record.Outcome, c.record.Run, c.record.Reason = res.outcome, res.run, res.reason
 	c.record.Status, c.record.KeyState = res.status, res.keyState
 	c.record.Duration = time.Since(c.startTime)
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -46,6 +46,9 @@
 	if c.r.Method == http.MethodHead || !bodyAllowed(a.resp.Status) {
 		length = 0
 	}
+	if length <= maxPrefetchBytes && !c.holdResponse(length) {
+		return nil, false, nil
+	}
 	return prefetchBody(length, a.resp.Body)
 }
 
@@ -95,23 +98,22 @@
 	o := classifyAttempt(a)
 	if len(prefix) > 0 {
 		replay.write(prefix)
-		if _, err := c.w.Write(prefix); err != nil {
+		if c.writePart(prefix, false) != nil {
 			return aborted, o
 		}
 	}
 	if complete {
 		return answered, o
 	}
-	buf, _ := copyBuffers.Get().(*[]byte)
-	defer copyBuffers.Put(buf)
-	flusher, _ := c.w.(http.Flusher)
+	buf := c.takeCopyBuffer()
+	defer returnCopyBuffer(buf)
 	callerGone := false
 	for {
 		n, err := a.resp.Body.Read(*buf)
 		if n > 0 {
 			replay.write((*buf)[:n])
 			if !callerGone {
-				callerGone = c.writeChunk((*buf)[:n], flusher, err == nil) != nil
+				callerGone = c.writePart((*buf)[:n], err == nil) != nil
 			}
 			if callerGone && replay == nil {
 				return aborted, routing.Canceled
@@ -130,16 +132,21 @@
 	}
 }
 
-// writeChunk writes a part of the body to the caller. It flushes if more data
-// follows, so that a slowly produced response is not delayed.
-func (c *call) writeChunk(p []byte, flusher http.Flusher, more bool) error {
-	if _, err := c.w.Write(p); err != nil {
-		return err
+// takeCopyBuffer returns a buffer that streams a response. It is small if the memory for
+// responses is held by others.
+func (c *call) takeCopyBuffer() *[]byte {
+	if !c.holdResponse(copyBufferBytes) {
+		small := make([]byte, smallPartBytes)
+		return &small
 	}
-	if more && flusher != nil {
-		flusher.Flush()
+	buf, _ := copyBuffers.Get().(*[]byte)
+	return buf
+}
+
+func returnCopyBuffer(buf *[]byte) {
+	if len(*buf) == copyBufferBytes {
+		copyBuffers.Put(buf)
 	}
-	return nil
 }
 
 // replayBuffer stores a response body of up to limit bytes for replay and
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -35,7 +35,7 @@
 // NewServer returns the HTTP server for callers on l, with the given limits. The error
 // log of the server is discarded because callers can cause any number of lines in it.
 func NewServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
-	s := drain.NewServer(newCallerServer(g, limits), framing.NewListener(l, limits.MaxHeaderBytes+headSlopBytes, g.limits.heads))
+	s := drain.NewServer(newCallerServer(g, limits), framing.NewListener(sendBufferListener{l, limits.SendBufferBytes}, limits.MaxHeaderBytes+headSlopBytes, g.limits.heads))
 	s.LimitConnections(limits.MaxConnections)
 	g.limits.reports.watch(eventConnectionLimit, "connections_closed", s.ClosedForRoom)
 	return s
