Bound unfinished calls to the listener for peers

A connection to the listener for peers counted as one of a peer before any call had shown the peer secret: 200 of them with 300 KiB of an unfinished message held 92 MiB and 199 descriptors.

--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -86,8 +86,10 @@
 	// ResponseMemoryBytes is the memory that parts of responses above 4 KiB may hold
 	// together until callers take them. Default an eighth of BodyMemoryBytes.
 	ResponseMemoryBytes int `json:"responseMemoryBytes"`
-	ResponseStallMS     int `json:"responseStallMs"` // default 3000; a part of a response that the caller does not take for so long ends it
-	SendBufferBytes     int `json:"sendBufferBytes"` // default 65536; of the kernel, for each connection of a caller
+	ResponseStallMS     int `json:"responseStallMs"`   // default 3000; a part of a response that the caller does not take for so long ends it
+	SendBufferBytes     int `json:"sendBufferBytes"`   // default 65536; of the kernel, for each connection of a caller
+	MaxPeerHandshakes   int `json:"maxPeerHandshakes"` // default 128; connections to the peer listener whose first call has not shown the secret
+	PeerHandshakeMS     int `json:"peerHandshakeMs"`   // default 5000; such a connection is closed after this time
 	// MemoryBytes is the memory of the instance; collections of garbage are more frequent
 	// near it. Default 0: unknown.
 	MemoryBytes int `json:"memoryBytes"`
@@ -123,7 +125,7 @@
 		Limits: Limits{
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
 			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20, BodyMemoryBytes: 256 << 20,
-			ResponseStallMS: 3000, SendBufferBytes: 64 << 10,
+			ResponseStallMS: 3000, MaxPeerHandshakes: 128, PeerHandshakeMS: 5000, SendBufferBytes: 64 << 10,
 		},
 		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
 		Listen:   Listen{ReadyPath: "/readyz"},
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/feed"
@@ -137,6 +138,10 @@
 		Secret:   e.conf.Secrets.Peer,
 		Header:   func() *peerpb.Header { return e.memberTable.Header() },
 		Recorder: e.recorder,
+
+		MaxHandshakes:    e.conf.Limits.MaxPeerHandshakes,
+		HandshakeTimeout: dynamic.MillisToDuration(e.conf.Limits.PeerHandshakeMS),
+		HandshakesClosed: e.metrics.Scope.Counter("peer_handshakes_closed"),
 	}
 }
 
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -16,7 +16,8 @@
 // message and a message without a header in the same way: it closes the
 // connection and records event 2701 without calling the service. The maximum
 // message size of all methods limits what the server buffers per connection, and
-// MaxConnections limits the number of connections.
+// MaxConnections limits the number of connections, and MaxHandshakes that of connections
+// whose first call has not shown the secret (handshake.go).
 //
 // Shutdown: when the context of Serve ends, the server closes the listener,
 // accepts no further calls, lets the calls in progress complete and closes each
--- a/pkg/peer/events.go
+++ b/pkg/peer/events.go
@@ -17,6 +17,8 @@
 		"a call from a peer did not complete within its time limit; its connection was closed")
 	eventAcceptFailed = events.New(2705, logrus.WarnLevel, "peer_accept_failed",
 		"accepting a connection from a peer failed")
+	eventHandshakeLimit = events.New(2707, logrus.WarnLevel, "peer_handshake_limit",
+		"a connection to the peer listener whose first call had not shown the secret was closed, after its time or for a newer one; at most 20 events about refused peers in 10 s")
 	eventConnectionLimit = events.New(2706, logrus.WarnLevel, "peer_connection_limit",
 		"the peer listener has reached its maximum number of connections; a new connection was closed")
 )
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmetadata"
 	"storj.io/drpc/drpcwire"
@@ -20,6 +21,8 @@
 	DefaultMaxConnectionsPerPeer = 8
 	DefaultMaxConnections        = 4096
 	DefaultIdleTimeout           = 30 * time.Second
+	DefaultMaxHandshakes         = 128
+	DefaultHandshakeTimeout      = 5 * time.Second
 	// serverIdleFactor is the idle timeout of the server as a multiple of the
 	// client's. The client then closes an idle connection first and does not start
 	// a call on a connection that the server is closing.
@@ -38,6 +41,12 @@
 	MaxConnections        int                   // default 4096; limits the open connections of the server
 	IdleTimeout           time.Duration         // default 30 s; the client closes an idle connection after this time, the server after twice this time
 
+	MaxHandshakes    int           // default 128; limits the connections of the server whose first call has not shown the secret
+	HandshakeTimeout time.Duration // default 5 s; the server closes such a connection after this time
+	HandshakesClosed tally.Counter // counts such connections that were closed; default: not counted
+
+	limiter *eventLimiter
+
 	// OnHeader is called with the header of every accepted message. address is
 	// the address of the peer for a reply, and empty for a request. OnHeader must
 	// not block. Default: no callback.
@@ -55,6 +64,16 @@
 	if o.MaxConnections == 0 {
 		o.MaxConnections = DefaultMaxConnections
 	}
+	if o.MaxHandshakes == 0 {
+		o.MaxHandshakes = DefaultMaxHandshakes
+	}
+	if o.HandshakeTimeout == 0 {
+		o.HandshakeTimeout = DefaultHandshakeTimeout
+	}
+	if o.HandshakesClosed == nil {
+		o.HandshakesClosed = tally.NoopScope.Counter("")
+	}
+	o.limiter = &eventLimiter{}
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = DefaultIdleTimeout
 	}
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -30,7 +30,8 @@
 // calls in progress and returns nil. It returns an error if the service cannot be
 // registered or the listener is closed before the context ends.
 func Serve(ctx context.Context, l net.Listener, s peerpb.DRPCPeerServer, o Options) error {
-	srv := &server{options: o.withDefaults(), mux: drpcmux.New(), connections: map[*connection]struct{}{}}
+	options := o.withDefaults()
+	srv := &server{options: options, handshakes: handshakes{options: options}, mux: drpcmux.New(), connections: map[*connection]struct{}{}}
 	if err := srv.mux.Register(s, limitedDescription{options: srv.options}); err != nil {
 		return errors.Wrap(err, "register peer service")
 	}
@@ -68,9 +69,10 @@
 
 // server serves the connections of one listener.
 type server struct {
-	options *Options
-	mux     *drpcmux.Mux
-	drpc    *drpcserver.Server
+	options    *Options
+	handshakes handshakes
+	mux        *drpcmux.Mux
+	drpc       *drpcserver.Server
 
 	mu          sync.Mutex
 	draining    bool
@@ -80,10 +82,11 @@
 // connection is an open connection from a peer.
 type connection struct {
 	net.Conn
-	ctx      context.Context
-	cancel   context.CancelFunc
-	busy     bool // guarded by server.mu: a call is in progress
-	draining bool // guarded by server.mu: no further call may begin
+	handshake *handshake
+	ctx       context.Context
+	cancel    context.CancelFunc
+	busy      bool // guarded by server.mu: a call is in progress
+	draining  bool // guarded by server.mu: no further call may begin
 }
 
 // end closes the connection and cancels its context. The context is needed
@@ -103,14 +106,15 @@
 		s.mu.Unlock()
 		_ = conn.Close()
 		if full {
-			s.options.Recorder.Record(eventConnectionLimit, events.F("peer", conn.RemoteAddr().String()))
+			s.options.recordLimited(eventConnectionLimit, events.F("peer", conn.RemoteAddr().String()))
 		}
 		return nil
 	}
-	defer s.mu.Unlock()
 	c := &connection{Conn: conn}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	s.connections[c] = struct{}{}
+	s.mu.Unlock()
+	c.handshake = s.handshakes.begin(c.end)
 	return c
 }
 
@@ -118,11 +122,12 @@
 func (s *server) serve(c *connection) {
 	defer c.cancel()
 	err := s.drpc.ServeOne(c.ctx, c)
+	c.handshake.finish()
 	s.mu.Lock()
 	delete(s.connections, c)
 	s.mu.Unlock()
 	if drpc.ProtocolError.Has(err) || drpc.InternalError.Has(err) {
-		s.options.Recorder.Record(eventRequestRefused, events.F("peer", c.RemoteAddr().String()),
+		s.options.recordLimited(eventRequestRefused, events.F("peer", c.RemoteAddr().String()),
 			events.F("reason", "protocol error"), events.F("error", err))
 	}
 }
@@ -175,7 +180,7 @@
 	var r refusal
 	if errors.As(err, &r) {
 		c.end()
-		s.options.Recorder.Record(eventRequestRefused, events.F("peer", c.RemoteAddr().String()),
+		s.options.recordLimited(eventRequestRefused, events.F("peer", c.RemoteAddr().String()),
 			events.F("call", name[:min(len(name), 64)]), events.F("reason", string(r)))
 	}
 	return err
@@ -191,6 +196,7 @@
 	if !s.options.authorized(stream.Context()) {
 		return refusedWrongSecret
 	}
+	c.handshake.finish()
 	timer := time.AfterFunc(method.maxTimeout, func() {
 		c.end()
 		s.options.Recorder.Record(eventRequestTimeout, events.F("peer", c.RemoteAddr().String()), events.F("call", name))
