--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -109,7 +109,7 @@
 		OrdinalConflict: func() bool { return e.memberTable.OrdinalConflict() },
 		Instances:       func() int { return e.memberTable.LiveInstances() },
 		Ready:           e.canServe,
-		BodyMemoryBytes: int64(conf.Limits.BodyMemoryBytes),
+		Limits:          conf.Limits,
 		Peers:           acceptors{e},
 		PeerSecret:      conf.Secrets.Peer,
 		NotifyPeers:     func() { e.memberTable.NotifyPeers() },
@@ -142,6 +142,10 @@
 		Secret:   e.conf.Secrets.Peer,
 		Header:   func() *peerpb.Header { return e.memberTable.Header() },
 		Recorder: e.recorder,
+
+		MaxHandshakes:    e.conf.Limits.MaxPeerHandshakes,
+		HandshakeTimeout: dynamic.MillisToDuration(e.conf.Limits.PeerHandshakeMS),
+		HandshakesClosed: e.metrics.Scope.Counter("peer_handshakes_closed"),
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/limit"
@@ -72,9 +73,8 @@
 	// therefore called for every request.
 	Ready func() (bool, string)
 
-	// BodyMemoryBytes is the memory that the bodies of all requests may hold together; 0:
-	// 256 MiB. A larger body takes all of it.
-	BodyMemoryBytes int64
+	// Limits holds the limits of what is held for callers; default static.Defaults.
+	Limits static.Limits
 
 	// Permits obtains the permits for requests to rate-limited backend servers.
 	Permits ratelimit.Source
@@ -119,6 +119,7 @@
 	drain       drainState
 	wasReady    atomic.Bool // since the start
 	bodyMemory  *limit.Memory
+	limits      *callerLimits
 	fleetHedges retry.HedgeBudget // over all services
 	inFlight    atomic.Int64
 	background  taskTracker
@@ -130,6 +131,7 @@
 // New returns a gateway that applies each settings tree that options.Store
 // adopts.
 func New(options Options) *Gateway {
+	limits := cmp.Or(options.Limits, static.Defaults().Limits)
 	g := &Gateway{
 		options: options, owner: options.Owner, claimant: options.Claimant, auditLog: options.Log,
 		start:           time.Now(),
@@ -137,7 +139,8 @@
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
 		evacuatedGauge:  options.Scope.Gauge("failure_domains_evacuated"),
-		bodyMemory:      limit.NewMemory(cmp.Or(options.BodyMemoryBytes, defaultBodyMemoryBytes)),
+		bodyMemory:      limit.NewMemory(int64(limits.BodyMemoryBytes)),
+		limits:          newCallerLimits(options.Scope, limits),
 	}
 	g.current.Store(&snapshot{callers: newCallerConfig(&options.Callers)})
 	options.Store.Subscribe(g.applySettings)
