routing: headroom by occupancy leaves half of the slots to every rank

Cause: for policies that estimate no cost, a headroom of 0.8 refused the least urgent rank from an occupancy of 0.48, while the policy fresh does so from about 0.9. Change: the limit lies between 2.4 and 0.5 requests for each slot.

--- a/pkg/routing/server/headroom.go
+++ b/pkg/routing/server/headroom.go
@@ -4,9 +4,10 @@
 
 const (
 	// fullOccupancy is the number of requests for each slot at which a backend server
-	// counts as full for policies that estimate no cost. It is the occupancy at which the
-	// policy fresh refuses by default.
-	fullOccupancy = 2.4
+	// counts as full for policies that estimate no cost, and leastOccupancy the one up to
+	// which any request is placed there. The policy fresh has about the same limits.
+	fullOccupancy  = 2.4
+	leastOccupancy = 0.5
 	// defaultSlots is the number of slots assumed if the report does not state it.
 	defaultSlots = 6
 	// maxHeadroomReportAge is the age above which a report says nothing about headroom.
@@ -39,5 +40,5 @@
 // its load is not known.
 func (s *Server) LeavesHeadroom(now time.Duration, headroom float64) bool {
 	occupancy, known := s.Occupancy(now)
-	return !known || occupancy < fullOccupancy*(1-headroom)
+	return !known || occupancy < fullOccupancy-headroom*(fullOccupancy-leastOccupancy)
 }
