--- a/pkg/gateway/gauges.go
+++ b/pkg/gateway/gauges.go
@@ -28,6 +28,20 @@
 	}
 }
 
+// attemptCounters count the attempts at backend servers of the own failure domain and of
+// others, and so the work that spills over.
+type attemptCounters struct {
+	own, others tally.Counter
+}
+
+func (c attemptCounters) add(isLocal bool) {
+	if isLocal {
+		c.own.Inc(1)
+		return
+	}
+	c.others.Inc(1)
+}
+
 // updateGauges sets the gauges to the current state of the service.
 func (s *service) updateGauges() {
 	ejected, draining := s.outliers.StateCounts()
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -56,6 +56,7 @@
 	queriesSent    atomic.Uint64 // load queries sent before decisions
 
 	retryCounter   tally.Counter
+	attempts       attemptCounters
 	queryCounter   tally.Counter
 	handoffCounter tally.Counter
 	requestLatency tally.Histogram // of answered requests
@@ -102,6 +103,7 @@
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
 		retryCounter:      scope.Counter("retries"),
+		attempts:          attemptCounters{scope.Counter("attempts_own_domain"), scope.Counter("attempts_other_domains")},
 		queryCounter:      scope.Counter("load_questions"),
 		handoffCounter:    scope.Counter("handed_on"),
 		reach:             reach.NewDetector(),
@@ -208,6 +210,7 @@
 func (s *service) finishAttempt(server *routing.Server, latency time.Duration, o routing.Outcome) {
 	now := s.now()
 	s.lastAttempt.Store(int64(now))
+	s.attempts.add(server.Local())
 	server.EndAttempt(now, latency, o)
 	if o != routing.Canceled {
 		s.outliers.Record(now, server.Key(), latency, o)
