gateway: a peer that refuses a less urgent request is not avoided by urgent ones

Cause: an instance that is cut from all backend servers avoids a peer that has refused a request. Change: the refusal of a request that is not of the most urgent rank names its reason in a header field between instances; the peer is not avoided and no other one is asked. The soak's backend server reports a load at which archive requests are refused.

--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -134,6 +134,44 @@
 	}
 }
 
+// Guards against a peer that is avoided by urgent requests because it has refused a less
+// urgent one, and against refusals that are held by one peer after another.
+func TestPriorityOfRequestsHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, 3, 3, rankedTree(1, "lentilpin", 3, 7))
+		defer f.close()
+		for _, b := range f.backends {
+			b.SetLoad(11)
+		}
+		for range 30 {
+			f.send(f.gateways[1], readRanked(0))
+			f.send(f.gateways[2], readRanked(0))
+		}
+		f.cutFromBackends(0, cut{})
+		for range 10 {
+			f.send(f.gateways[0], readRanked(0))
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.True(t, f.gateways[0].service("shop").reach.IsCut())
+		start := time.Now()
+		got := f.send(f.gateways[0], readRanked(1))
+		require.Equal(t, http.StatusServiceUnavailable, got.Code)
+		require.Contains(t, got.Body.String(), reasonOutranked)
+		require.Equal(t, "not_run", got.Header().Get(runHeader))
+		require.Empty(t, got.Header().Get(refusalHeader), "between instances only")
+		require.LessOrEqual(t, time.Since(start), 100*time.Millisecond, "an eighth of the target latency")
+		record, _ := f.gateways[0].auditLog.FindRequest(got.Header().Get(requestIDHeader))
+		require.Len(t, record.Attempts, 1)
+		require.Equal(t, handoffRefused, record.Attempts[0].Result)
+		for range 2 {
+			require.Equal(t, http.StatusOK, f.send(f.gateways[0], readRanked(0)).Code)
+		}
+		for address := range 3 {
+			require.False(t, f.gateways[0].service("shop").peers.isAvoided(f.gateways[0].now(), fmt.Sprint(address)))
+		}
+	})
+}
+
 // eventNames is a recorder of the names of events with their ranks.
 type eventNames struct {
 	mu    sync.Mutex
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -16,6 +16,10 @@
 const (
 	handoffHeader    = "Lentilpin-Handoff"
 	peerSecretHeader = "Lentilpin-Peer-Secret"
+	// refusalHeader names the reason for which a peer has refused a request that is not of
+	// the most urgent rank, while more urgent ones may be served.
+	// Peers of older builds do not send it.
+	refusalHeader = "Lentilpin-Refusal"
 )
 
 const (
@@ -80,6 +84,11 @@
 	a.latency = time.Since(a.start)
 	refused := a.isNotRun() || a.resp != nil && isPeerRefusal(a.resp)
 	c.recordHandoff(a, address, refused)
+	if refused && a.resp != nil {
+		if res, ok := c.refusedByRank(a.resp); ok {
+			return res, true
+		}
+	}
 	if refused {
 		c.svc.peers.avoid(c.g.now(), address)
 		if a.resp != nil {
@@ -95,6 +104,21 @@
 	return c.sendHandoffResponse(a), true
 }
 
+// refusedByRank returns the refusal of a request that a peer has refused by its rank. The
+// peer is not avoided, because it takes more urgent requests, and no other one is asked,
+// because all decide by the same load.
+func (c *call) refusedByRank(resp *transport.Response) (result, bool) {
+	reason := resp.Header.Get(refusalHeader)
+	r, ok := c.ranked()
+	if !ok || reason != reasonOutranked && reason != reasonDisplaced && reason != reasonOverloaded {
+		return result{}, false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // keeps the connection; an error closes it
+	_ = resp.Body.Close()
+	res := notRunResult(http.StatusServiceUnavailable, reason, "a peer leaves the free capacity to more urgent requests")
+	return r.spreadRetryAfter(res, r.timing()), true
+}
+
 // isPeerRefusal reports whether a peer states that the request has not run, or has
 // refused it before it was read as a request.
 func isPeerRefusal(resp *transport.Response) bool {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -93,6 +93,9 @@
 		c.setNewKeyHeader()
 		c.announceDrain()
 		c.w.Header().Set(runHeader, string(res.run))
+		if c.handoff != nil && c.record.Admission != nil && c.record.Admission.Rank > 0 && res.exactRetryAfter {
+			c.w.Header().Set(refusalHeader, res.reason)
+		}
 		writeProblem(c.w, c.config, c.id, res)
 	}
 	if res.outcome == audit.OutcomeAborted && res.status == 0 {
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -39,6 +39,9 @@
 	soakTimeout       = 20 * time.Second
 	// soakLag is how long the others do not know that an instance has left or is back.
 	soakLag = 60 * time.Millisecond
+	// soakLoad is the number of requests that the backend server reports for its 6 slots,
+	// so that archive requests are refused and orders are served.
+	soakLoad = 11
 	// soakDrain is a little more than soakLag, the time until idle connections to peers
 	// are closed and the time to make one.
 	soakDrain = 400 * time.Millisecond
@@ -228,6 +231,7 @@
 func playSoak(t *testing.T, random *rand.Rand) {
 	s := &soak{t: t, backend: pipe.New(), acceptors: map[string]bool{}}
 	defer s.backend.Close()
+	s.backend.SetLoad(soakLoad)
 	for i := range soakInstances {
 		s.start(i)
 	}
