--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -41,6 +41,9 @@
 	soakTimeout       = 20 * time.Second
 	// soakLag is how long the others do not know that an instance has left or is back.
 	soakLag = 60 * time.Millisecond
+	// soakLoad is the number of requests that the backend server reports for its 6 slots,
+	// so that archive requests are refused and orders are served.
+	soakLoad = 11
 	// soakDrain is a little more than soakLag, the time until idle connections to peers
 	// are closed and the time to make one.
 	soakDrain = 400 * time.Millisecond
@@ -324,6 +327,7 @@
 	s := &soak{t: t, backends: map[string]*pipe.Backend{"127.0.0.1:9000": pipe.New(), "127.0.0.1:9001": pipe.New()}, acceptors: map[string]bool{}}
 	for _, b := range s.backends {
 		defer b.Close()
+		b.SetLoad(soakLoad)
 	}
 	for i := range soakInstances {
 		s.start(i)
