--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
@@ -30,14 +28,16 @@
 
 // NewHandoffServer returns the HTTP server for requests that peers hand on, on l.
 func NewHandoffServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
-	return drain.NewServer(&http.Server{
+	s := drain.NewServer(&http.Server{
 		Handler:           g.limits.refuseOverLimit(g, closeIfUncertain(http.HandlerFunc(g.serveHandedOn))),
 		MaxHeaderBytes:    limits.MaxHeaderBytes + headSlopBytes + handoffHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
-	}, framing.NewListener(netutil.LimitListener(l, maxHandoffConnections), limits.MaxHeaderBytes+headSlopBytes+handoffHeaderBytes, g.limits.heads))
+	}, framing.NewListener(l, limits.MaxHeaderBytes+headSlopBytes+handoffHeaderBytes, g.limits.heads))
+	s.LimitConnections(maxHandoffConnections)
+	return s
 }
 
 // handoffHeaderBytes is the size of the fields that the first instance adds.
