Fewer messages between failure domains: evidence of crashes, permits of cold servers

By reading: each crash of a backend server blames all requests in progress there, and each entry forwarded all of that at once; and each entry asked for permits of cold backend servers in other failure domains. Change: entries tell peers at once only of their own evidence, and of quarantines and their ends; permits of cold backend servers of other failure domains are requested only where no other backend server can be used.

--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -74,6 +74,7 @@
 	l.blame(now, brokenAttempt{e.Fingerprint, e.At}, e.Address, e.At)
 }
 
+
 // isBlamedFor reports whether the crash that e states is known.
 func (l *List) isBlamedFor(e Evidence) bool {
 	return slices.ContainsFunc(l.blamed[e.Fingerprint], func(b blame) bool {
@@ -99,6 +100,7 @@
 	if q, ok := l.quarantined[fp]; ok && (q.isFirst || at >= q.until) {
 		l.release(fp, reason)
 		changed = true
+		l.hasNews.Store(true)
 	}
 	if !changed {
 		return
@@ -106,11 +108,16 @@
 	evictOldest(l.clearances, maxClearances, func(at time.Duration) time.Duration { return at })
 	l.clearances[fp] = at
 	l.clearanceCount.Store(int32(len(l.clearances)))
-	l.hasNews.Store(true)
 }
 
 // TakeNews reports whether the list has learned anything since the last call that the
 // peers should know at once.
+//
+// Crashes of backend servers blame every request that was in progress there, and most of
+// these run elsewhere at once. Peers are therefore told at once of an instance's own
+// evidence and of quarantines and their ends, but what a peer has reported, and the
+// clearance of a request that was only blamed, go out with the periodic exchange:
+// forwarding them at once would cost messages of the whole fleet for each such request.
 func (l *List) TakeNews() bool { return l.hasNews.Swap(false) }
 
 // IsBlamed reports whether a request is blamed for the crash of a backend server.
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -314,6 +314,7 @@
 	}
 	for _, b := range in.onsetBreaks[:in.onsetCount] {
 		l.blame(now, b, address, now)
+		l.hasNews.Store(true)
 	}
 	in.onsetCount = 0
 }
@@ -330,7 +331,6 @@
 	cutoff := now - dynamic.MillisToDuration(l.settings.DurationMS)
 	blames := slices.DeleteFunc(l.blamed[fp], func(b blame) bool { return b.address == address || b.at <= cutoff })
 	blames = append(blames, blame{address, confirmedAt})
-	l.hasNews.Store(true)
 	if len(blames) < max(minBlamedServers, l.settings.Breaks) {
 		evictOldest(l.blamed, maxBlamed, func(b []blame) time.Duration { return b[len(b)-1].at })
 		l.blamed[fp] = blames
@@ -346,6 +346,7 @@
 	duration := dynamic.MillisToDuration(l.settings.DurationMS)
 	duration = min(duration, max(minFirstDuration, duration/firstDurationDivisor))
 	l.addQuarantine(now, fp, quarantineState{until: now + duration, isFirst: true, source: SourceOwn, addresses: addresses})
+	l.hasNews.Store(true)
 	l.queueEvent(eventRequestQuarantined, events.F("fingerprint", FormatFingerprint(fp)), events.F("for_ms", duration.Milliseconds()), events.F("addresses", addresses))
 }
 
--- a/pkg/routing/permits.go
+++ b/pkg/routing/permits.go
@@ -24,19 +24,21 @@
 )
 
 // PermitCandidates returns the rate-limited backend servers for which this instance
-// should obtain permits: those among the ones of lowest affinity.
+// should obtain permits: those among the ones of lowest affinity. Cold ones of other
+// failure domains are left out while another backend server needs no permit: a cold one
+// is soon warm, and each of its permits costs a call to its failure domain.
 func (s *Set) PermitCandidates() (out []*Server) {
 	l := s.list.Load()
-	appendLimited := func(servers []*Server) {
+	appendLimited := func(servers []*Server, withCold bool) {
 		for _, srv := range servers {
-			if srv.IsRateLimited() && srv.Weight() > 0 {
+			if srv.IsRateLimited() && srv.Weight() > 0 && (withCold || !srv.IsWarmupLimited()) {
 				out = append(out, srv)
 			}
 		}
 	}
 	local, remote := l.Servers()[:l.Local()], l.Servers()[l.Local():]
-	appendLimited(local[:min(permitLocalCount, len(local))])
-	appendLimited(remote[:min(permitRemoteCount, len(remote))])
+	appendLimited(local[:min(permitLocalCount, len(local))], true)
+	appendLimited(remote[:min(permitRemoteCount, len(remote))], len(local) == 0 || s.NeedsPermit(nil))
 	return out
 }
 
