--- a/pkg/config/dynamic/service.go
+++ b/pkg/config/dynamic/service.go
@@ -18,6 +18,7 @@
 
 	Keys        Keys        `json:"keys"`
 	Queue       Queue       `json:"queue"`
+	Admission   Admission   `json:"admission"`
 	Connections Connections `json:"connections"`
 	Routing     Routing     `json:"routing"`
 	Measuring   Measuring   `json:"measuring"`
@@ -27,6 +28,24 @@
 	Headers     Headers     `json:"headers"`
 	Responses   Responses   `json:"responses"`
 	Paths       Paths       `json:"paths"`
+	Warmup      Warmup      `json:"warmup"`
+}
+
+// Warmup holds the limit on requests to a backend server that is cold, which is
+// for some time after its start and whenever it states so. Without a limit it
+// gets requests as a slow one.
+type Warmup struct {
+	// PerSecond is the number of requests per second, from all entries together,
+	// that a cold backend server tolerates; default 0, which sets no limit.
+	PerSecond float64 `json:"perSecond"`
+	// Seconds is how long a backend server is cold at most after its start; default 0:
+	// not stated. It bounds what the instance list states, which another writer may
+	// have written.
+	Seconds float64 `json:"seconds"`
+	// Overshoot and Slack bound the requests in any one second, from all entries
+	// together, to PerSecond * Overshoot + Slack; default 1.5 and 8.
+	Overshoot float64 `json:"overshoot"`
+	Slack     float64 `json:"slack"`
 }
 
 // Keys holds the settings of idempotency keys.
@@ -48,6 +67,19 @@
 	AdaptiveLimit bool `json:"adaptiveLimit"`
 }
 
+// Admission holds the settings of admission by priority. They have an effect only where
+// the routes of a service state different priorities.
+type Admission struct {
+	ByPriority bool `json:"byPriority"` // default true
+	// HeadroomRatio is the share of a backend server's range of load, up to
+	// Routing.MaxLatencyRatio, that the least urgent requests leave to more urgent ones;
+	// default 0.8.
+	HeadroomRatio float64 `json:"headroomRatio"`
+	// MaxWaitRatio is the longest wait in the queue as a share of the time to the
+	// deadline; default 0.5. Queue.MaxWaitMS is allowed in any case.
+	MaxWaitRatio float64 `json:"maxWaitRatio"`
+}
+
 // Connections holds the settings of connections to backend servers.
 type Connections struct {
 	PerBackend int `json:"perBackend"` // default 250; connections to one backend server, summed over all entries
@@ -104,6 +136,14 @@
 	FleetBurst      float64 `json:"fleetBurst"`
 	Hedge           bool    `json:"hedge"`           // default true
 	HedgePercentile float64 `json:"hedgePercentile"` // default 95; percentile of the service's latency after which a hedge is sent
+	// HedgeRatio is the largest number of hedges per request of the service, 0 to 1;
+	// default 1, which sets no limit besides BudgetRatio. 0 sends no hedges.
+	HedgeRatio float64 `json:"hedgeRatio"`
+	// FleetHedgeRatio is the largest number of hedges per request over all services of
+	// an instance, and so of the fleet; default 1, which sets no limit. 0 sends no
+	// hedges. It is meant for the defaults of the tree; a service that states another
+	// value adds that much to the common limit with each request.
+	FleetHedgeRatio float64 `json:"fleetHedgeRatio"`
 }
 
 // Outlier holds the settings of ejection, readmission and slow start.
@@ -160,6 +200,11 @@
 	// Backend-Rate-Limit. A response without the field states that there is no limit.
 	// Empty reads none.
 	RateLimit string `json:"rateLimit"`
+	// Warmup names the field in which a backend server states for how many
+	// milliseconds it stays cold, a decimal number; default empty, which reads none.
+	// A response without the field says nothing about that. It has no effect
+	// without a limit in Warmup.
+	Warmup string `json:"warmup"`
 }
 
 // Load report formats.
--- a/pkg/config/static/static.go
+++ b/pkg/config/static/static.go
@@ -5,6 +5,7 @@
 package static
 
 import (
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"net/netip"
@@ -42,6 +43,9 @@
 	// FirstStart states that the whole system starts for the first time, so that
 	// no caller waits for this instance yet. Only the platform adapter sets it.
 	FirstStart bool `json:"-"`
+	// EvacuationMS is the time in milliseconds in which an evacuation must take effect; 0:
+	// that of package feed.
+	EvacuationMS int `json:"-"`
 	// Callers applies until the first settings tree is in force.
 	Callers dynamic.Callers `json:"-"`
 }
@@ -79,6 +83,35 @@
 	// BodyMemoryBytes is the memory that the bodies of all requests of callers may hold
 	// together; default 268435456. Requests wait for it, or are refused as not run.
 	BodyMemoryBytes int `json:"bodyMemoryBytes"`
+	// HeadMemoryBytes is the memory that heads of requests above 4 KiB may hold together.
+	// Default a sixteenth of BodyMemoryBytes, because reused buffers take as much again; at least that of two heads of MaxHeaderBytes.
+	HeadMemoryBytes int `json:"headMemoryBytes"`
+	// ResponseMemoryBytes is the memory that parts of responses above 4 KiB may hold
+	// together until callers take them. Default an eighth of BodyMemoryBytes.
+	ResponseMemoryBytes int `json:"responseMemoryBytes"`
+	ResponseStallMS     int `json:"responseStallMs"`   // default 3000; a part of a response that the caller does not take for so long ends it
+	SendBufferBytes     int `json:"sendBufferBytes"`   // default 65536; of the kernel, for each connection of a caller
+	MaxPeerHandshakes   int `json:"maxPeerHandshakes"` // default 128; connections to the peer listener whose first call has not shown the secret
+	PeerHandshakeMS     int `json:"peerHandshakeMs"`   // default 5000; such a connection is closed after this time
+	// MemoryBytes is the memory of the instance; collections of garbage are more frequent
+	// near it. Default 0: unknown.
+	MemoryBytes int `json:"memoryBytes"`
+}
+
+// Parts of the memory for bodies that are the defaults of the other memories.
+const (
+	defaultHeadShare     = 16
+	defaultResponseShare = 8
+)
+
+// ResponseMemory returns the memory for responses in bytes.
+func (l *Limits) ResponseMemory() int64 {
+	return int64(cmp.Or(l.ResponseMemoryBytes, l.BodyMemoryBytes/defaultResponseShare))
+}
+
+// HeadMemory returns the memory for heads in bytes.
+func (l *Limits) HeadMemory() int64 {
+	return int64(max(cmp.Or(l.HeadMemoryBytes, l.BodyMemoryBytes/defaultHeadShare), 2*l.MaxHeaderBytes))
 }
 
 // Shutdown holds the settings of a graceful shutdown.
@@ -97,6 +130,7 @@
 		Limits: Limits{
 			MaxHeaderBytes: 16384, MaxConnections: 4096, HeaderReadMS: 5000, BodyReadMS: 10000,
 			IdleMS: 60000, MaxClaims: 200000, RequestRecords: 50000, AuditRecords: 5000, GCPercent: 100, MaxTreeBytes: 1 << 20, BodyMemoryBytes: 256 << 20,
+			ResponseStallMS: 3000, MaxPeerHandshakes: 128, PeerHandshakeMS: 5000, SendBufferBytes: 64 << 10,
 		},
 		Shutdown: Shutdown{DrainMS: 2000, GraceMS: 15000, HandOver: true},
 		Listen:   Listen{ReadyPath: "/readyz"},
--- a/pkg/ctl/show.go
+++ b/pkg/ctl/show.go
@@ -38,6 +38,9 @@
 		printLine(w, "request %s at %s", r.RequestID, reply.entryName())
 		printLine(w, "  service %s, method %s, started %s UTC, took %s", orDash(r.Service), r.Method, formatTime(r.Start), formatDuration(r.Duration))
 		printLine(w, "  outcome %s, run %s, status %d, reason %s, key %s", r.Outcome, r.Run, r.Status, orDash(r.Reason), orDash(r.KeyState))
+		if r.Admission != nil {
+			printLine(w, "  %s", describeAdmission(r.Admission))
+		}
 		if len(r.Attempts) == 0 {
 			printLine(w, "  no attempt was sent to a backend server")
 			continue
@@ -49,6 +52,13 @@
 	}
 }
 
+// describeAdmission describes the decision by which a request was admitted or refused
+// among requests of other ranks.
+func describeAdmission(a *audit.Admission) string {
+	return fmt.Sprintf("priority %d, rank %d: waited %.1f ms; %.0f%% of a backend server's load left to more urgent requests at %.1f requests for each slot",
+		a.Priority, a.Rank, a.WaitedMS, 100*a.HeadroomRatio, a.Occupancy)
+}
+
 func showRefusals(w *tabwriter.Writer, replies refusalReplies) {
 	type row struct {
 		audit.RefusalCount
@@ -122,6 +132,8 @@
 		states                 map[string]int
 		picks, failed          uint64
 		weight                 float64
+		coldLeft               time.Duration // longest of all entries
+		permits                int           // entries that hold a permit
 	}
 	rows := map[string]*row{}
 	var picks uint64
@@ -138,19 +150,23 @@
 			r.picks += b.Picks
 			r.failed += b.Failed
 			r.weight += b.Weight
+			r.coldLeft = max(r.coldLeft, b.ColdLeft)
+			if b.HasPermit {
+				r.permits++
+			}
 			picks += b.Picks
 		}
 	}
 	printLine(w, "%d backend servers as seen by %d entries", len(rows), len(replies))
-	printLine(w, "backend server\tfailure domain\tattempts\tshare\tfailed\tmean weight\tlisted at\tstates")
+	printLine(w, "backend server\tfailure domain\tattempts\tshare\tfailed\tmean weight\tlisted at\tcold for\tpermits at\tstates")
 	for _, address := range sortedKeys(rows) {
 		r := rows[address]
 		var states []string
 		for _, s := range sortedKeys(r.states) {
 			states = append(states, fmt.Sprintf("%s at %d", s, r.states[s]))
 		}
-		printLine(w, "%s\t%s\t%d\t%.1f%%\t%d\t%.2f\t%d of %d\t%s", r.address, r.failureDomain, r.picks, 100*float64(r.picks)/float64(max(1, picks)),
-			r.failed, r.weight/float64(r.entries), r.entries, len(replies), strings.Join(states, ", "))
+		printLine(w, "%s\t%s\t%d\t%.1f%%\t%d\t%.2f\t%d of %d\t%s\t%d\t%s", r.address, r.failureDomain, r.picks, 100*float64(r.picks)/float64(max(1, picks)),
+			r.failed, r.weight/float64(r.entries), r.entries, len(replies), formatDuration(r.coldLeft), r.permits, strings.Join(states, ", "))
 	}
 }
 
@@ -212,6 +228,7 @@
 	for _, v := range sortedKeys(versions) {
 		printLine(w, "version %s is in force at %d of %d entries that answered", v, versions[v], len(replies))
 	}
+	showEvacuated(w, replies)
 	otherMembers := map[string]operator.Member{}
 	knownBy := map[string]int{}
 	for _, reply := range replies {
@@ -236,6 +253,20 @@
 	}
 }
 
+// showEvacuated prints one line for each evacuated failure domain.
+func showEvacuated(w *tabwriter.Writer, replies []EntryReply[operator.InstanceState]) {
+	knownAt, backends := map[string]int{}, map[string]int{}
+	for _, reply := range replies {
+		for _, d := range reply.Result.Evacuated {
+			knownAt[d.FailureDomain]++
+			backends[d.FailureDomain] = max(backends[d.FailureDomain], d.Backends)
+		}
+	}
+	for _, domain := range sortedKeys(knownAt) {
+		printLine(w, "failure domain %q is evacuated at %d of %d entries that answered, %d backend servers", domain, knownAt[domain], len(replies), backends[domain])
+	}
+}
+
 func showDraining(w *tabwriter.Writer, replies []EntryReply[[]operator.DrainMark]) {
 	type row struct {
 		operator.DrainMark
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/clock"
+	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/feed"
@@ -70,6 +71,7 @@
 			},
 			Instances:  func() int { return e.memberTable.LiveInstances() },
 			FirstStart: conf.FirstStart, TreeInForce: e.settingsStore.Version,
+			EvacuationBound: dynamic.MillisToDuration(conf.EvacuationMS),
 		})
 		return e.feed
 	})
@@ -107,10 +109,11 @@
 		OrdinalConflict: func() bool { return e.memberTable.OrdinalConflict() },
 		Instances:       func() int { return e.memberTable.LiveInstances() },
 		Ready:           e.canServe,
-		BodyMemoryBytes: int64(conf.Limits.BodyMemoryBytes),
+		Limits:          conf.Limits,
 		Peers:           acceptors{e},
 		PeerSecret:      conf.Secrets.Peer,
 		NotifyPeers:     func() { e.memberTable.NotifyPeers() },
+		IsListCurrent:   func() bool { return e.feed == nil || e.feed.IsCurrent() },
 	})
 	e.memberTable = membership.New(membership.Options{
 		Self: &peerpb.Member{
@@ -139,6 +142,10 @@
 		Secret:   e.conf.Secrets.Peer,
 		Header:   func() *peerpb.Header { return e.memberTable.Header() },
 		Recorder: e.recorder,
+
+		MaxHandshakes:    e.conf.Limits.MaxPeerHandshakes,
+		HandshakeTimeout: dynamic.MillisToDuration(e.conf.Limits.PeerHandshakeMS),
+		HandshakesClosed: e.metrics.Scope.Counter("peer_handshakes_closed"),
 	}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,12 +16,14 @@
 
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
+	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
 	"lentilpin/pkg/limit"
 	"lentilpin/pkg/membership"
 	"lentilpin/pkg/platform"
 	"lentilpin/pkg/ratelimit"
+	"lentilpin/pkg/retry"
 	"lentilpin/pkg/route"
 	"lentilpin/pkg/routing"
 	"lentilpin/pkg/settings"
@@ -71,9 +73,8 @@
 	// therefore called for every request.
 	Ready func() (bool, string)
 
-	// BodyMemoryBytes is the memory that the bodies of all requests may hold together; 0:
-	// 256 MiB. A larger body takes all of it.
-	BodyMemoryBytes int64
+	// Limits holds the limits of what is held for callers; default static.Defaults.
+	Limits static.Limits
 
 	// Permits obtains the permits for requests to rate-limited backend servers.
 	Permits ratelimit.Source
@@ -89,6 +90,10 @@
 	// when a backend server starts to drain or a request is quarantined.
 	NotifyPeers func()
 
+	// IsListCurrent reports whether the evacuations of the instance list are up to date. It
+	// returns false after a pause of the process until they have been read. nil: they are.
+	IsListCurrent func() bool
+
 	// dial and dialPeer replace net.Dialer for connections to backend servers and to
 	// peers in tests.
 	dial, dialPeer func(ctx context.Context, address string) (net.Conn, error)
@@ -104,16 +109,20 @@
 	requestIDPrefix string
 	requestSequence atomic.Uint64
 	current         atomic.Pointer[snapshot]
-	updateMu        sync.Mutex          // serializes replacements of the snapshot
-	list            []platform.Instance // latest instance list, guarded by updateMu
+	updateMu        sync.Mutex                     // serializes replacements of the snapshot
+	list            []platform.Instance            // latest instance list, guarded by updateMu
+	evacuated       atomic.Pointer[map[string]int] // number of backend servers by evacuated failure domain; nil: none yet
+	evacuatedGauge  tally.Gauge
 
-	hasList    atomic.Bool   // an instance list was received
-	normal     atomic.Uint64 // requests that completed normally
-	drain      drainState
-	wasReady   atomic.Bool // since the start
-	bodyMemory *limit.Memory
-	inFlight   atomic.Int64
-	background taskTracker
+	hasList     atomic.Bool   // an instance list was received
+	normal      atomic.Uint64 // requests that completed normally
+	drain       drainState
+	wasReady    atomic.Bool // since the start
+	bodyMemory  *limit.Memory
+	limits      *callerLimits
+	fleetHedges retry.HedgeBudget // over all services
+	inFlight    atomic.Int64
+	background  taskTracker
 
 	accepted        tally.Counter
 	outcomeCounters sync.Map // outcomeKey -> tally.Counter
@@ -122,13 +131,16 @@
 // New returns a gateway that applies each settings tree that options.Store
 // adopts.
 func New(options Options) *Gateway {
+	limits := cmp.Or(options.Limits, static.Defaults().Limits)
 	g := &Gateway{
 		options: options, owner: options.Owner, claimant: options.Claimant, auditLog: options.Log,
 		start:           time.Now(),
 		drain:           newDrainState(),
 		requestIDPrefix: fmt.Sprintf("%s-%016x-", options.Instance, options.Incarnation),
 		accepted:        options.Scope.Counter("requests_accepted"),
-		bodyMemory:      limit.NewMemory(cmp.Or(options.BodyMemoryBytes, defaultBodyMemoryBytes)),
+		evacuatedGauge:  options.Scope.Gauge("failure_domains_evacuated"),
+		bodyMemory:      limit.NewMemory(int64(limits.BodyMemoryBytes)),
+		limits:          newCallerLimits(options.Scope, limits),
 	}
 	g.current.Store(&snapshot{callers: newCallerConfig(&options.Callers)})
 	options.Store.Subscribe(g.applySettings)
@@ -182,6 +194,7 @@
 		routes = route.NewTable(old.routes, tree.Routes)
 	}
 	snapshot := newSnapshot(next, routes, tree)
+	configureAdmission(next, tree)
 	// A request that finds a new service without its backend servers would be refused.
 	g.applyInstances(snapshot.list)
 	g.current.Store(snapshot)
@@ -215,18 +228,21 @@
 	return s
 }
 
-// UpdateInstances applies a new instance list of the platform.
+// UpdateInstances applies a new instance list of the platform, with the evacuated failure
+// domains.
 func (g *Gateway) UpdateInstances(list []platform.Instance) {
 	g.updateMu.Lock()
 	defer g.updateMu.Unlock()
 	g.list = list
 	g.applyInstances(g.current.Load().list)
+	g.setEvacuated(evacuatedDomains(list))
 	g.hasList.Store(true)
 }
 
 // applyInstances applies the latest instance list to services. g.updateMu must be held.
 func (g *Gateway) applyInstances(services []*service) {
-	live := map[string][]routing.Backend{}
+	evacuatedDomains := evacuatedDomains(g.list)
+	live, evacuated := map[string][]routing.Backend{}, map[string][]routing.Backend{}
 	leaving := map[string][]string{}
 	for _, i := range g.list {
 		if i.Kind != platform.KindBackend {
@@ -239,10 +255,14 @@
 				continue // this combination of address and ID never becomes live again
 			}
 		}
-		live[i.Service] = append(live[i.Service], b)
+		if _, b.IsEvacuated = evacuatedDomains[i.FailureDomain]; b.IsEvacuated {
+			evacuated[i.Service] = append(evacuated[i.Service], b)
+		} else {
+			live[i.Service] = append(live[i.Service], b)
+		}
 	}
 	for _, s := range services {
-		s.updateBackends(live[s.name], leaving[s.name])
+		s.updateBackends(live[s.name], evacuated[s.name], leaving[s.name])
 	}
 }
 
--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -16,6 +16,10 @@
 const (
 	handoffHeader    = "Lentilpin-Handoff"
 	peerSecretHeader = "Lentilpin-Peer-Secret"
+	// refusalHeader names the reason for which a peer has refused a request that is not of
+	// the most urgent rank, while more urgent ones may be served.
+	// Peers of older builds do not send it.
+	refusalHeader = "Lentilpin-Refusal"
 )
 
 const (
@@ -45,6 +49,10 @@
 	// AttemptTimeoutMS is the time limit of one attempt if the route states one; 0: that
 	// of the service.
 	AttemptTimeoutMS int `json:"attemptTimeoutMs,omitempty"`
+	// Priority and TargetLatencyMS are those of the route. Without a priority, as from an
+	// older build, the request is admitted as without ranks.
+	Priority        *int `json:"priority,omitempty"`
+	TargetLatencyMS int  `json:"targetLatencyMs,omitempty"`
 }
 
 // handOn hands the request to peers, one after another, until one takes it. It returns
@@ -76,6 +84,11 @@
 	a.latency = time.Since(a.start)
 	refused := a.isNotRun() || a.resp != nil && isPeerRefusal(a.resp)
 	c.recordHandoff(a, address, refused)
+	if refused && a.resp != nil {
+		if res, ok := c.refusedByRank(a.resp); ok {
+			return res, true
+		}
+	}
 	if refused {
 		c.svc.peers.avoid(c.g.now(), address)
 		if a.resp != nil {
@@ -91,6 +104,21 @@
 	return c.sendHandoffResponse(a), true
 }
 
+// refusedByRank returns the refusal of a request that a peer has refused by its rank. The
+// peer is not avoided, because it takes more urgent requests, and no other one is asked,
+// because all decide by the same load.
+func (c *call) refusedByRank(resp *transport.Response) (result, bool) {
+	reason := resp.Header.Get(refusalHeader)
+	r, ok := c.ranked()
+	if !ok || reason != reasonOutranked && reason != reasonDisplaced && reason != reasonOverloaded {
+		return result{}, false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // keeps the connection; an error closes it
+	_ = resp.Body.Close()
+	res := notRunResult(http.StatusServiceUnavailable, reason, "a peer leaves the free capacity to more urgent requests")
+	return r.spreadRetryAfter(res, r.timing()), true
+}
+
 // isPeerRefusal reports whether a peer states that the request has not run, or has
 // refused it before it was read as a request.
 func isPeerRefusal(resp *transport.Response) bool {
@@ -100,10 +128,14 @@
 
 // handoffHeader returns the header of the request to a peer.
 func (c *call) handoffHeader() http.Header {
-	text, err := json.Marshal(handoff{
+	described := handoff{
 		Service: c.svc.name, Idempotent: c.isIdempotent(), MaxAttempts: min(max(1, c.maxAttempts()-c.reachedServers()), maxHandoffAttempts),
 		TimeoutMS: time.Until(c.deadline).Milliseconds(), AttemptTimeoutMS: c.routeAttemptTimeoutMS(),
-	})
+	}
+	if c.route != nil {
+		described.Priority, described.TargetLatencyMS = &c.route.Priority, c.route.TargetLatencyMS
+	}
+	text, err := json.Marshal(described)
 	if err != nil {
 		panic(err) // cannot happen: the struct has only strings and numbers
 	}
@@ -194,7 +226,7 @@
 // lastResort hands the request to a peer if res says that it has not run, and backend
 // servers could not be reached by it or lately. Otherwise it returns res.
 func (c *call) lastResort(ctx context.Context, res result) result {
-	if res.run != audit.NotRun || !c.svc.reach.HasFailures() && !c.hasFailedToConnect() {
+	if res.run != audit.NotRun || res.reason == reasonEvacuated || !c.svc.reach.HasFailures() && !c.hasFailedToConnect() {
 		return res
 	}
 	if c.reachedServers() > 0 && !c.svc.retryBudget.TakeRetry(c.g.now()) {
--- a/pkg/gateway/handoff_server.go
+++ b/pkg/gateway/handoff_server.go
@@ -10,8 +10,6 @@
 	"net/http"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/config/static"
@@ -30,14 +28,16 @@
 
 // NewHandoffServer returns the HTTP server for requests that peers hand on, on l.
 func NewHandoffServer(g *Gateway, l net.Listener, limits static.Limits) *drain.Server {
-	return drain.NewServer(&http.Server{
-		Handler:           closeIfUncertain(http.HandlerFunc(g.serveHandedOn)),
-		MaxHeaderBytes:    limits.MaxHeaderBytes + handoffHeaderBytes,
+	s := drain.NewServer(&http.Server{
+		Handler:           g.limits.refuseOverLimit(g, closeIfUncertain(http.HandlerFunc(g.serveHandedOn))),
+		MaxHeaderBytes:    limits.MaxHeaderBytes + headSlopBytes + handoffHeaderBytes,
 		ReadHeaderTimeout: dynamic.MillisToDuration(limits.HeaderReadMS),
 		ReadTimeout:       dynamic.MillisToDuration(limits.HeaderReadMS + limits.BodyReadMS),
 		IdleTimeout:       dynamic.MillisToDuration(limits.IdleMS),
 		ErrorLog:          log.New(discardWriter{}, "", 0),
-	}, framing.NewListener(netutil.LimitListener(l, maxHandoffConnections), limits.MaxHeaderBytes+handoffHeaderBytes))
+	}, framing.NewListener(l, limits.MaxHeaderBytes+headSlopBytes+handoffHeaderBytes, g.limits.heads))
+	s.LimitConnections(maxHandoffConnections)
+	return s
 }
 
 // handoffHeaderBytes is the size of the fields that the first instance adds.
@@ -61,6 +61,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer c.releaseBodyMemory()
+	defer c.releaseResponse()
 	res, ok := c.resolveHandedOn()
 	if ok {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
@@ -92,7 +93,7 @@
 	var h handoff
 	err := json.Unmarshal([]byte(c.r.Header.Get(handoffHeader)), &h)
 	if err != nil || h.MaxAttempts < 1 || h.MaxAttempts > maxHandoffAttempts || h.TimeoutMS < 1 || h.TimeoutMS > dynamic.MaxMillis ||
-		h.AttemptTimeoutMS < 0 || h.AttemptTimeoutMS > dynamic.MaxMillis {
+		h.AttemptTimeoutMS < 0 || h.AttemptTimeoutMS > dynamic.MaxMillis || h.TargetLatencyMS < 0 || h.TargetLatencyMS > dynamic.MaxMillis {
 		return notRunResult(http.StatusBadRequest, reasonMalformed, "the peer's description of the request is invalid"), false
 	}
 	c.handoff = &h
--- a/pkg/gateway/non_idempotent.go
+++ b/pkg/gateway/non_idempotent.go
@@ -114,7 +114,7 @@
 		return c.settleWith(claim, c.handOnOrRefuse(ctx))
 	}
 	var tried []*routing.Server
-	c.svc.retryBudget.RecordFirstAttempt(c.g.now())
+	c.svc.recordFirstAttempt()
 	isRetry := false
 	for sent := 0; sent < c.maxAttempts(); {
 		if isRetry && !c.svc.retryBudget.TakeRetry(c.g.now()) {
@@ -150,6 +150,9 @@
 		}
 	}
 	refusal := notRunResult(http.StatusServiceUnavailable, reasonOverloaded, "every backend server that was asked refused before running").withRetryAfter()
+	if r, ok := c.ranked(); ok {
+		refusal = r.spreadRetryAfter(refusal, r.timing())
+	}
 	return c.settleWith(claim, c.lastResort(ctx, refusal))
 }
 
--- a/pkg/gateway/operator_view.go
+++ b/pkg/gateway/operator_view.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"lentilpin/pkg/operator"
+	"lentilpin/pkg/retry"
 )
 
 // Backends describes the backend servers of a service for operators, sorted by
@@ -20,6 +21,7 @@
 		info, _ := s.outliers.ServerInfo(now, server.Key())
 		out = append(out, operator.DescribeBackend(s.routingSet.Explain(now, server.Key()), info))
 	}
+	out = append(out, s.evacuatedBackends()...)
 	slices.SortFunc(out, func(a, b operator.Backend) int { return strings.Compare(a.Address, b.Address) })
 	return out, true
 }
@@ -44,3 +46,21 @@
 	}
 	return out
 }
+
+// Hedges returns the hedges of each service and their budgets.
+func (g *Gateway) Hedges() []operator.Hedges {
+	out := []operator.Hedges{}
+	for _, s := range g.current.Load().list {
+		settings, h := s.settings.Load(), s.hedges
+		view := operator.Hedges{
+			Service: s.name, Since: g.start, HedgeRatio: settings.Retry.HedgeRatio, FleetHedgeRatio: settings.Retry.FleetHedgeRatio,
+			Requests: h.requests.Load(), Sent: h.decisions[retry.HedgeSent].count.Load(),
+			Won: h.won.count.Load(), Canceled: h.canceled.count.Load(), Refused: map[string]uint64{},
+		}
+		for d := retry.HedgeSent + 1; d < retry.HedgeDecisionCount; d++ {
+			view.Refused[d.String()] = h.decisions[d].count.Load()
+		}
+		out = append(out, view)
+	}
+	return out
+}
--- a/pkg/gateway/outcome.go
+++ b/pkg/gateway/outcome.go
@@ -12,6 +12,7 @@
 	reasonUnknownService = "unknown_service"
 	reasonUnknownRoute   = "unknown_route"
 	reasonHeaderTooLarge = "header_too_large"
+	reasonHeaderMemory   = "header_memory"
 	reasonIDRequired     = "request_id_required"
 	reasonNotReady       = "not_ready"
 	reasonUnconfirmed    = "settings_unconfirmed"
@@ -21,8 +22,11 @@
 	reasonBodyMemory     = "body_memory"
 	reasonDeadline       = "deadline_exceeded"
 	reasonOverloaded     = "overloaded"
+	reasonOutranked      = "outranked"
+	reasonDisplaced      = "displaced"
 	reasonRateLimited    = "rate_limited"
 	reasonNoBackend      = "no_backend_server"
+	reasonEvacuated      = "evacuated"
 	reasonUnreachable    = "backends_unreachable"
 	reasonAttemptsFailed = "attempts_failed"
 	reasonBackendLost    = "backend_connection_lost"
@@ -46,6 +50,9 @@
 	// retryAfter is the value of that field if it is above the setting of the
 	// callers.
 	retryAfter time.Duration
+	// exactRetryAfter makes retryAfter the value of the field also if it is below that
+	// setting.
+	exactRetryAfter bool
 }
 
 // notRunResult returns the refusal of a request that did not run.
--- a/pkg/gateway/periodic.go
+++ b/pkg/gateway/periodic.go
@@ -34,9 +34,13 @@
 // the probe budget, so no probes are sent.
 func (g *Gateway) runPeriodic(ctx context.Context, tick int, probes *sync.WaitGroup) {
 	suspended := g.options.OrdinalConflict()
+	g.limits.reports.report(g.now(), g.options.Recorder)
 	isSlowRound := tick/ticksPerRound%roundsPerIdleVisit == 0
 	// Counting the instances walks the member table: once in a tick is enough.
 	instances := sync.OnceValue(g.options.Instances)
+	if isSlowRound && tick%ticksPerRound == 0 {
+		g.fleetHedges.Report(g.options.Recorder, "")
+	}
 	for _, s := range g.current.Load().dueServices(tick) {
 		s.checkReach(ctx, probes)
 		idle := s.isIdle()
@@ -52,7 +56,10 @@
 			s.probeBudgets.Report(s.now(), g.options.Recorder, s.name)
 			s.retryBudget.Instances(instances())
 			s.retryBudget.Report(g.options.Recorder, s.name)
+			s.rankStats.report(g.options.Recorder, s.name)
+			s.hedges.budgets.Service.Report(g.options.Recorder, s.name)
 			s.updateGauges()
+			s.withdrawEvacuated()
 			s.checkEjected(ctx, probes)
 			s.checkRateLimited(ctx, probes)
 		}
--- a/pkg/gateway/select.go
+++ b/pkg/gateway/select.go
@@ -14,16 +14,20 @@
 // pickServer selects a backend server. While none has capacity, it waits in the
 // queue. The refusal is nil on success.
 func (c *call) pickServer(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
+	if c.svc.isEvacuated() {
+		res := refuseEvacuated()
+		return nil, &res
+	}
 	if len(c.svc.routingSet.Servers()) == 0 {
 		res := notRunResult(http.StatusServiceUnavailable, reasonNoBackend, "the service has no backend servers").withRetryAfter()
 		return nil, &res
 	}
 	if refusal := c.refuseDuringBackoff(exclude); refusal != nil {
-		return nil, refusal
+		return nil, c.countRankRefusal(refusal)
 	}
 	c.queryLoads(ctx, exclude)
 	if refusal := c.refuseWithoutPermit(exclude); refusal != nil {
-		return nil, refusal
+		return nil, c.countRankRefusal(refusal)
 	}
 	return c.admit(ctx, exclude)
 }
@@ -34,6 +38,9 @@
 	if !c.svc.routingSet.NeedsPermit(exclude) {
 		return nil
 	}
+	if c.svc.routingSet.EndWarmups(c.g.now()) && !c.svc.routingSet.NeedsPermit(exclude) {
+		return nil
+	}
 	c.svc.permits.Request(c.svc.routingSet.PermitCandidates(), true)
 	wait, expected := c.svc.permits.NextPermit()
 	if expected && wait <= dynamic.MillisToDuration(c.settings.Queue.MaxWaitMS) {
@@ -47,15 +54,20 @@
 // admit selects a backend server that is not in exclude. While none has capacity, it
 // waits in the queue.
 func (c *call) admit(ctx context.Context, exclude []*routing.Server) (server *routing.Server, refusal *result) {
+	if r, ok := c.ranked(); ok {
+		return r.admitRanked(ctx, exclude)
+	}
 	err := c.svc.queue.Admit(ctx, func() bool {
 		server = c.svc.routingSet.Pick(c.g.now(), exclude)
-		return server != nil
+		return server != nil || c.svc.isEvacuated()
 	})
-	if err == nil {
+	if server != nil {
 		return server, nil
 	}
 	var res result
 	switch {
+	case err == nil:
+		res = refuseEvacuated()
 	case errors.Is(err, context.DeadlineExceeded):
 		res = notRunResult(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed in the queue")
 	case errors.Is(err, context.Canceled):
--- a/pkg/gateway/service.go
+++ b/pkg/gateway/service.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"lentilpin/pkg/admission"
 	"lentilpin/pkg/config/dynamic"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/limit"
@@ -32,8 +34,11 @@
 	outliers     *outlier.Detector
 	quarantine   *quarantine.List
 	queue        *limit.Queue
+	admission    *admission.Controller
+	rankStats    rankStats
 	retryBudget  *retry.Budget
 	hedgeDelay   *retry.HedgeDelay
+	hedges       *hedges
 	probeBudgets *measure.Budgets
 	prober       *measure.Prober
 	permits      *ratelimit.Holder
@@ -43,6 +48,7 @@
 
 	recorder        events.Recorder
 	notifyPeers     func()
+	isListCurrent   func() bool
 	nextHealthCheck time.Duration // used by Gateway.Run only
 	nextReachCheck  time.Duration // used by Gateway.Run only
 	lastAttempt     atomic.Int64  // time of the last attempt
@@ -54,8 +60,8 @@
 	queryDecisions atomic.Uint64 // decisions before which load queries were allowed
 	queriesSent    atomic.Uint64 // load queries sent before decisions
 
-	hedgeCounter   tally.Counter
 	retryCounter   tally.Counter
+	attempts       attemptCounters
 	queryCounter   tally.Counter
 	handoffCounter tally.Counter
 	requestLatency tally.Histogram // of answered requests
@@ -95,14 +101,17 @@
 		quarantine:        quarantine.New(settings, recorder),
 		queue:             limit.NewQueue(settings.Queue.MaxRequests, dynamic.MillisToDuration(settings.Queue.MaxWaitMS)),
 		retryBudget:       retry.NewBudget(settings.Retry),
+		admission:         admission.NewController(),
+		rankStats:         rankStats{scope: scope},
 		hedgeDelay:        retry.NewHedgeDelay(settings.Retry.HedgePercentile),
 		concurrencyLimits: map[*routing.Server]*limit.Concurrency{},
 		recorder:          recorder,
 		notifyPeers:       g.options.NotifyPeers,
+		isListCurrent:     func() bool { return g.options.IsListCurrent == nil || g.options.IsListCurrent() },
 		probeBudgets:      probeBudgets,
 		prober:            measure.NewProber(routingSet, probeBudgets, seed),
-		hedgeCounter:      scope.Counter("hedges"),
 		retryCounter:      scope.Counter("retries"),
+		attempts:          attemptCounters{scope.Counter("attempts_own_domain"), scope.Counter("attempts_other_domains")},
 		queryCounter:      scope.Counter("load_questions"),
 		handoffCounter:    scope.Counter("handed_on"),
 		reach:             reach.NewDetector(),
@@ -122,6 +131,8 @@
 		},
 	})
 	s.permits = permits
+	s.configureWarmup(settings)
+	s.hedges = newHedges(scope, s.retryBudget, &g.fleetHedges)
 	s.settings.Store(settings)
 	s.lastAttempt.Store(-int64(serviceIdleTimeout) - 1)
 	s.peers = newHandoffPeers(s, &g.options)
@@ -145,17 +156,25 @@
 		server.SetLimit(c.Limit())
 	}
 	s.concurrencyLimitsMu.Unlock()
+	s.configureWarmup(settings)
 	return s.routingSet.Configure(settings)
 }
 
 // updateBackends replaces the backend servers by the subset of live that this
-// instance uses. leaving holds the keys of the backend servers that the instance
+// instance uses. The evacuated ones are not used and not counted. leaving holds the keys of the backend servers that the instance
 // list marks as leaving; live includes those without an ID.
-func (s *service) updateBackends(live []routing.Backend, leaving []string) {
+func (s *service) updateBackends(live, evacuated []routing.Backend, leaving []string) {
 	now := s.now()
 	conf := s.settings.Load()
-	live = subset.Select(live, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
-	s.routingSet.Update(now, live)
+	selectUsed := func(list []routing.Backend) []routing.Backend {
+		return subset.Select(list, s.ordinal, conf.InstanceCeiling, conf.Connections.PerBackend)
+	}
+	if len(evacuated) > 0 {
+		// Those that this instance would use without the evacuation.
+		evacuated = slices.DeleteFunc(slices.Clone(selectUsed(slices.Concat(live, evacuated))), func(b routing.Backend) bool { return !b.IsEvacuated })
+	}
+	live = selectUsed(live)
+	returned := s.routingSet.Update(now, slices.Concat(live, evacuated))
 	keys := make([]string, len(live))
 	for i, b := range live {
 		keys[i] = b.Key()
@@ -164,8 +183,11 @@
 	for _, a := range leaving {
 		s.outliers.MarkDraining(now, a, "list")
 	}
+	s.takeBack(now, returned, len(live)-len(returned))
+	s.withdrawEvacuated()
 	s.pruneConcurrencyLimits()
 	s.updateWeights()
+	s.requestWarmupPermits()
 }
 
 // Sources of signals, as events name them.
@@ -174,10 +196,10 @@
 	sourceLoadQuery = "load_query" // also of probes and health checks
 )
 
-// observeSignals records the load report, the rate limit, the backoff and the drain
-// signal of a response.
+// observeSignals records the load report, the rate limit, the remaining warm-up, the
+// backoff and the drain signal of a response.
 func (s *service) observeSignals(server *routing.Server, sig transport.Signals, source string) {
-	if sig.HasReport {
+	if sig.HasReport && !server.IsEvacuated() {
 		server.RecordReport(s.now(), sig.Report, 0)
 	}
 	if !sig.Misdirected && server.SetRateLimit(s.now(), sig.RateLimit) {
@@ -186,6 +208,9 @@
 		s.recorder.Record(eventRateLimitChanged, events.F("backend", server.Key()), events.F("source", source),
 			events.F("limited", sig.RateLimit.Stated), events.F("per_second", sig.RateLimit.PerSecond))
 	}
+	if sig.HasWarmupLeft {
+		s.observeWarmup(server, sig.WarmupLeft, source)
+	}
 	if sig.RetryAfter > 0 {
 		s.backOff(server, sig.RetryAfter)
 	}
@@ -196,10 +221,11 @@
 }
 
 // mayStart reports whether a request that was assigned to a backend server may be sent
-// now: the server is still listed, and has neither begun to leave nor refused another
-// request for some time meanwhile.
-func (s *service) mayStart(server *routing.Server) bool {
-	return s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
+// now: the server is still listed and not evacuated, and has neither begun to leave,
+// refused another request for some time nor turned cold meanwhile.
+func (s *service) mayStart(server *routing.Server, assignedAt time.Duration) bool {
+	s.waitForCurrentList()
+	return !server.HasTurnedCold(assignedAt) && s.routingSet.Server(server.Key()) == server && !server.IsBackingOff() && !s.outliers.IsDraining(s.now(), server.Key())
 }
 
 // finishAttempt releases the capacity of an attempt, updates the concurrency
@@ -208,6 +234,7 @@
 func (s *service) finishAttempt(server *routing.Server, latency time.Duration, o routing.Outcome) {
 	now := s.now()
 	s.lastAttempt.Store(int64(now))
+	s.attempts.add(server.Local())
 	server.EndAttempt(now, latency, o)
 	if o != routing.Canceled {
 		s.outliers.Record(now, server.Key(), latency, o)
@@ -242,20 +269,22 @@
 // pruneConcurrencyLimits deletes the limits of backend servers that are no
 // longer listed. Thousands of backend servers are replaced each day.
 func (s *service) pruneConcurrencyLimits() {
+	evacuated := s.routingSet.Evacuated()
 	s.concurrencyLimitsMu.Lock()
 	defer s.concurrencyLimitsMu.Unlock()
 	for server := range s.concurrencyLimits {
-		if s.routingSet.Server(server.Key()) != server {
+		if s.routingSet.Server(server.Key()) != server && !slices.Contains(evacuated, server) {
 			delete(s.concurrencyLimits, server)
 		}
 	}
 }
 
-// updateWeights applies ejections, drains, slow starts and the ends of backoffs to the
-// routing weights. It also closes the idle connections of backend servers that get no
+// updateWeights applies ejections, drains, slow starts and the ends of backoffs and
+// warm-ups to the routing weights. It also closes the idle connections of backend servers that get no
 // requests, and notifies the peers of new drains.
 func (s *service) updateWeights() {
 	s.endBackoffs()
+	s.routingSet.EndWarmups(s.now())
 	for _, change := range s.outliers.Sweep(s.now()) {
 		server := s.routingSet.Server(change.Address)
 		if server == nil {
--- a/pkg/gateway/soak_test.go
+++ b/pkg/gateway/soak_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	"lentilpin/pkg/drain"
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/ledger"
+	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/platform"
 	"lentilpin/pkg/ratelimit"
 	"lentilpin/pkg/settings"
@@ -39,11 +41,26 @@
 	soakTimeout       = 20 * time.Second
 	// soakLag is how long the others do not know that an instance has left or is back.
 	soakLag = 60 * time.Millisecond
+	// soakLoad is the number of requests that the backend server reports for its 6 slots,
+	// so that archive requests are refused and orders are served.
+	soakLoad = 11
 	// soakDrain is a little more than soakLag, the time until idle connections to peers
 	// are closed and the time to make one.
 	soakDrain = 400 * time.Millisecond
+	// soakCold is how long the second backend server is cold at a time.
+	soakCold = 300 * time.Millisecond
+	// soakColdAddress is the address of the second backend server.
+	soakColdAddress = "127.0.0.1:9001"
 )
 
+// soakKinds are the kinds of requests, which have different ranks, and soakRoutes their
+// routes.
+var soakKinds = []string{"orders", "archive"}
+
+const soakRoutes = `, "routes": [
+  {"host": "127.0.0.1", "pathPrefix": "/shop/orders/", "targetLatencyMs": 500, "priority": 0, "services": [{"service": "shop", "weight": 1}]},
+  {"host": "127.0.0.1", "pathPrefix": "/shop/archive/", "targetLatencyMs": 2000, "priority": 2, "services": [{"service": "shop", "weight": 1}]}]`
+
 // soakInstance is an instance that is stopped in an orderly way and started again.
 type soakInstance struct {
 	gateway         *Gateway
@@ -57,11 +74,78 @@
 // soak is a fleet over loopback sockets in front of backend servers over pipes.
 type soak struct {
 	t         *testing.T
-	backend   *pipe.Backend
+	backends  map[string]*pipe.Backend // by address; the first is in zone-0, the second in zone-1 and turns cold now and then
+	issuer    *ratelimit.Issuer
+	colds     []time.Time                // when the second backend server turned cold
 	cut       [soakInstances]atomic.Bool // from all backend servers
 	mu        sync.Mutex
 	instances [soakInstances]*soakInstance
 	acceptors map[string]bool // addresses as the instances know them
+	evacuated bool            // zone-1
+}
+
+// list returns the instance list with the remaining warm-up of the second backend server.
+// s.mu must be held.
+func (s *soak) list(left time.Duration) (out []platform.Instance) {
+	for address := range s.backends {
+		i := platform.Instance{Kind: platform.KindBackend, Service: "shop", Address: address, State: platform.StateLive, FailureDomain: zoneOf(address)}
+		if address == soakColdAddress {
+			i.WarmupRemaining = left
+		}
+		out = append(out, i)
+	}
+	if s.evacuated {
+		out = append(out, platform.Instance{Kind: platform.KindFailureDomain, FailureDomain: "zone-1", State: platform.StateEvacuated})
+	}
+	return out
+}
+
+// setEvacuated begins or ends the evacuation of zone-1 at all instances.
+func (s *soak) setEvacuated(isEvacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = isEvacuated
+	for _, instance := range s.instances {
+		instance.gateway.UpdateInstances(s.list(0))
+	}
+}
+
+// attemptsInEvacuatedZone returns the number of attempts in progress in zone-1.
+func (s *soak) attemptsInEvacuatedZone() (n int32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		for _, server := range instance.gateway.service("shop").routingSet.Evacuated() {
+			n += server.Inflight()
+		}
+	}
+	return n
+}
+
+// evacuateInTurn evacuates zone-1 and takes it back until ctx ends. Once the attempts from
+// before an evacuation have ended, no request may arrive there.
+func (s *soak) evacuateInTurn(ctx context.Context, random *rand.Rand) (evacuations int) {
+	arrivals := func() int { return len(s.backends["127.0.0.1:9001"].Arrivals()) }
+	clock.Sleep(ctx, soakSpan/3) // the other backend server gets requests first
+	for ; clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond); evacuations++ {
+		s.setEvacuated(true)
+		for s.attemptsInEvacuatedZone() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		before := arrivals()
+		clock.Sleep(ctx, time.Duration(random.IntN(200))*time.Millisecond)
+		require.Equal(s.t, before, arrivals())
+		s.setEvacuated(false)
+	}
+	return evacuations
+}
+
+// runs returns how often all backend servers ran the request with a token.
+func (s *soak) runs(token string) (n int) {
+	for _, b := range s.backends {
+		n += b.Runs(token)
+	}
+	return n
 }
 
 // start starts instance i on the addresses that it had before, if any.
@@ -72,26 +156,31 @@
 	store := settings.NewStore(events.Discard{}, c)
 	directory := soakDirectory{s, i}
 	issuer := ratelimit.NewIssuer(ratelimit.IssuerOptions{Directory: directory, Clock: c, Epoch: store.Epoch})
+	if i == 0 {
+		s.issuer = issuer
+	}
 	g := New(Options{
 		Instance: fmt.Sprintf("entry-%d", i), Incarnation: rand.Uint64(), Region: "r", Store: store, Owner: owner,
 		Claimant: ledger.NewClaimant(owner, keyring, fixturePeers{&fixture{}}, c, "127.0.0.1:1"),
-		Permits:  ratelimit.NewPermits(directory, issuer, fixturePeers{&fixture{}}),
+		Permits:  ratelimit.NewPermits(directory, issuer, directory),
 		Log:      audit.New(1000, 100), Recorder: events.Discard{}, Scope: tally.NoopScope,
 		OrdinalConflict: func() bool { return true }, NotifyPeers: func() {}, Instances: func() int { return 1 }, Ready: func() (bool, string) { return true, "" },
 		Peers: directory, PeerSecret: "secret of the fleet",
-		dial: func(context.Context, string) (net.Conn, error) {
+		dial: func(_ context.Context, address string) (net.Conn, error) {
 			if s.cut[i].Load() {
 				return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 			}
-			return s.backend.DialFrom(i)
+			return s.backends[address].DialFrom(i)
 		},
 	})
 	tree := strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 5000, "requireKey": false`, 1)
+	tree = coldTree(tree)
+	tree = strings.TrimSuffix(tree, "}") + soakRoutes + "}"
 	require.Equal(s.t, settings.ResultAdopted, store.Offer([]byte(tree), "test"))
-	g.UpdateInstances([]platform.Instance{{Kind: platform.KindBackend, Service: "shop", Address: "127.0.0.1:9000", State: platform.StateLive}})
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	g.UpdateInstances(s.list(0))
 	previous := s.instances[i]
 	if previous == nil {
 		previous = &soakInstance{callerAddress: "127.0.0.1:0", requestsAddress: "127.0.0.1:0"}
@@ -109,6 +198,17 @@
 	s.announce(instance.requestsAddress, true)
 }
 
+// turnCold makes the second backend server cold for soakCold.
+func (s *soak) turnCold() {
+	s.backends[soakColdAddress].TurnCold(soakCold)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, instance := range s.instances {
+		instance.gateway.UpdateInstances(s.list(soakCold))
+	}
+	s.colds = append(s.colds, time.Now())
+}
+
 func (s *soak) listen(address string) net.Listener {
 	l, err := net.Listen("tcp", address)
 	require.NoError(s.t, err)
@@ -151,7 +251,13 @@
 	self int
 }
 
-func (d soakDirectory) Responsible(string, string) (string, bool) { return "", true }
+// Responsible names the instance that is not restarted.
+func (d soakDirectory) Responsible(string, string) (string, bool) { return "instance 0", d.self == 0 }
+
+// Permit implements ratelimit.PeerClient.
+func (d soakDirectory) Permit(_ context.Context, _ string, in *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	return d.s.issuer.Issue(in), nil
+}
 
 func (d soakDirectory) LiveShare() float64 { return 1 }
 
@@ -173,8 +279,8 @@
 }
 
 // call sends one order on open connections and compares the response with what ran.
-func (s *soak) call(client *http.Client, address, token string, counts *soakCounts) {
-	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/shop/orders/"+token, strings.NewReader("body of "+token))
+func (s *soak) call(client *http.Client, address, kind, token string, counts *soakCounts) {
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/shop/"+kind+"/"+token, strings.NewReader("body of "+token))
 	require.NoError(s.t, err)
 	r.Header.Set(pipe.TokenHeader, token)
 	resp, err := client.Do(r)
@@ -184,7 +290,7 @@
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	runs := s.backend.Runs(token)
+	runs := s.runs(token)
 	switch run := resp.Header.Get(runHeader); {
 	case err != nil:
 		counts.broken.Add(1)
@@ -203,7 +309,8 @@
 
 // Guards against orders that are lost, run twice or reported wrongly because the peers to
 // which they are handed are stopped and started, one after another and two at once, while
-// callers keep using their open connections.
+// callers keep using their open connections; and against orders that are sent to a failure
+// domain that is evacuated meanwhile, and taken back.
 func TestPeersRestartWhileRequestsAreHandedToThem(t *testing.T) {
 	seeds := 1
 	if text := os.Getenv(soakSeedsVariable); text != "" {
@@ -217,8 +324,11 @@
 }
 
 func playSoak(t *testing.T, random *rand.Rand) {
-	s := &soak{t: t, backend: pipe.New(), acceptors: map[string]bool{}}
-	defer s.backend.Close()
+	s := &soak{t: t, backends: map[string]*pipe.Backend{"127.0.0.1:9000": pipe.New(), "127.0.0.1:9001": pipe.New()}, acceptors: map[string]bool{}}
+	for _, b := range s.backends {
+		defer b.Close()
+		b.SetLoad(soakLoad)
+	}
 	for i := range soakInstances {
 		s.start(i)
 	}
@@ -228,17 +338,20 @@
 	var work sync.WaitGroup
 	ctx, cancel := context.WithTimeout(context.Background(), soakSpan)
 	defer cancel()
+	evacuations, evacuationRandom := 0, rand.New(rand.NewPCG(random.Uint64(), 0))
+	work.Go(func() { evacuations = s.evacuateInTurn(ctx, evacuationRandom) })
 	for caller := range 8 {
 		work.Go(func() {
 			client := &http.Client{Timeout: soakTimeout}
 			defer client.CloseIdleConnections()
 			for n := 0; ctx.Err() == nil; n++ {
-				s.call(client, s.instances[0].callerAddress, fmt.Sprintf("order-%d-%d.", caller, n), &counts)
+				s.call(client, s.instances[0].callerAddress, soakKinds[caller%len(soakKinds)], fmt.Sprintf("order-%d-%d.", caller, n), &counts)
 				clock.Sleep(ctx, 2*time.Millisecond)
 			}
 		})
 	}
 	for ctx.Err() == nil {
+		s.turnCold()
 		restarted := random.Perm(soakInstances - 1)[:1+random.IntN(2)]
 		var restarts sync.WaitGroup
 		for _, i := range restarted {
@@ -255,7 +368,13 @@
 	for i := range soakInstances {
 		s.shutDown(i)
 	}
+	for _, since := range s.colds {
+		arrivals := slices.DeleteFunc(s.backends[soakColdAddress].Arrivals(), func(at time.Time) bool { return at.Before(since) || at.Sub(since) >= soakCold })
+		require.LessOrEqual(t, len(arrivals), maxColdRequests, "a cold backend server")
+	}
 	t.Logf("served %d, refused as not run %d, unknown %d, broken %d", counts.served.Load(), counts.refused.Load(), counts.unknown.Load(), counts.broken.Load())
+	require.Positive(t, evacuations)
+	require.NotEmpty(t, s.backends["127.0.0.1:9001"].Arrivals())
 	require.Zero(t, counts.unknown.Load(), "only peers that shut down in an orderly way are involved")
 	require.Zero(t, counts.broken.Load())
 	require.Greater(t, counts.served.Load(), counts.refused.Load())
--- a/pkg/operator/view.go
+++ b/pkg/operator/view.go
@@ -37,6 +37,8 @@
 	DrainMarks() []DrainMark
 	// Measuring returns the load probes of each service and their budgets.
 	Measuring() []Measuring
+	// Hedges returns the hedges of each service and their budgets.
+	Hedges() []Hedges
 }
 
 // Identity identifies a running instance.
@@ -58,7 +60,7 @@
 type Backend struct {
 	Address       string        `json:"address"`
 	FailureDomain string        `json:"failure_domain"`
-	State         string        `json:"state"` // healthy, slow_start, ejected or draining
+	State         string        `json:"state"` // healthy, slow_start, ejected, draining or evacuated
 	StateReason   string        `json:"state_reason"`
 	Remaining     time.Duration `json:"remaining_ns"` // time left in the state; 0: unlimited
 	Weight        float64       `json:"weight"`
@@ -78,7 +80,9 @@
 	ReportedLoad  int32         `json:"reported_load"` // running and waiting requests
 	EstimatedLoad float64       `json:"estimated_load"`
 	MeanLoad      float64       `json:"mean_load"`
-	Ejections     int           `json:"ejections"` // number of ejections that determines the duration of the next one
+	ColdLeft      time.Duration `json:"cold_left_ns"` // time until the backend server is warm; 0: it is
+	HasPermit     bool          `json:"has_permit"`   // the entry holds a permit for one request to the rate-limited or cold backend server
+	Ejections     int           `json:"ejections"`    // number of ejections that determines the duration of the next one
 }
 
 // Settings holds the settings of a service that are in force at an instance.
@@ -110,6 +114,17 @@
 	Confirmed    bool      `json:"confirmed"`
 	Confirmation string    `json:"by"` // source that confirmed the version, or the reason why it is not confirmed
 	Members      []Member  `json:"members"`
+	// Evacuated holds the evacuated failure domains as this instance knows them.
+	Evacuated []EvacuatedDomain `json:"evacuated,omitempty"`
+}
+
+// StateEvacuated is the state of a backend server in an evacuated failure domain.
+const StateEvacuated = "evacuated"
+
+// EvacuatedDomain is a failure domain whose backend servers get no requests.
+type EvacuatedDomain struct {
+	FailureDomain string `json:"failure_domain"`
+	Backends      int    `json:"backends"` // registered in it; 0: the name may be misspelled
 }
 
 // Member is the state of an entry as known to an instance.
@@ -152,6 +167,20 @@
 	Refused              uint64        `json:"refused"` // probes not sent because they were too early or too large for the budget
 }
 
+// Hedges counts the hedges of one service at this instance since Since. The ratios are
+// hedges per request; 1 is no limit.
+type Hedges struct {
+	Service         string            `json:"service"`
+	Since           time.Time         `json:"since"`
+	HedgeRatio      float64           `json:"hedge_ratio"`
+	FleetHedgeRatio float64           `json:"fleet_hedge_ratio"` // over all services
+	Requests        uint64            `json:"requests"`          // idempotent or not
+	Sent            uint64            `json:"sent"`
+	Won             uint64            `json:"won"`      // the hedge gave the response
+	Canceled        uint64            `json:"canceled"` // another attempt was faster, or the request ended
+	Refused         map[string]uint64 `json:"refused"`  // by reason
+}
+
 // DescribeBackend combines the state of a backend server in routing and in outlier
 // detection.
 func DescribeBackend(e routing.Explanation, i outlier.ServerInfo) Backend {
@@ -162,6 +191,7 @@
 		Failed: e.Failed, ErrorShare: e.ErrorShare, Latency: e.Latency, MeanLatency: e.MeanLatency,
 		HasReport: e.HasReport, ReportAge: e.ReportAge, ReportedLoad: e.Report.Load(),
 		EstimatedLoad: e.EstimatedLoad, MeanLoad: e.MeanLoad, Ejections: i.Ejections,
+		ColdLeft: e.WarmupLeft, HasPermit: e.HasPermit,
 	}
 }
 
--- a/pkg/ratelimit/holder_test.go
+++ b/pkg/ratelimit/holder_test.go
@@ -24,11 +24,13 @@
 	calls  atomic.Int32
 }
 
-func (s *source) Take(context.Context, *routing.Server, routing.RateLimit, time.Duration, time.Duration) (time.Duration, bool) {
+func (s *source) Take(context.Context, ratelimit.Query) (time.Duration, bool) {
 	s.calls.Add(1)
 	return s.wait, !s.denied
 }
 
+func (s *source) Issuer(*routing.Server) string { return "issuer" }
+
 // holderTest is a holder with one rate-limited backend server.
 type holderTest struct {
 	*ratelimit.Holder
--- a/pkg/routing/configure.go
+++ b/pkg/routing/configure.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,6 +27,7 @@
 	probeListener   server.ProbeListener        // nil: the policy does not store probe replies
 	querier         server.LoadQuerier          // nil: the policy sends no load queries
 	capacityChecker server.SpareCapacityChecker // nil: the policy does not estimate spare capacity
+	headroomChecker server.HeadroomChecker      // nil: the policy does not estimate headroom
 }
 
 // errorLatency returns the minimum latency that a failed attempt contributes to
@@ -55,10 +57,11 @@
 	next.probeListener, _ = next.policy.(server.ProbeListener)
 	next.querier, _ = next.policy.(server.LoadQuerier)
 	next.capacityChecker, _ = next.policy.(server.SpareCapacityChecker)
+	next.headroomChecker, _ = next.policy.(server.HeadroomChecker)
 	s.stats.SetErrorLatency(errorLatency(settings))
 	s.settings.Store(next)
 	if old != nil && old.settings.ConnectionsPerInstance() != settings.ConnectionsPerInstance() {
-		for _, srv := range s.Servers() {
+		for _, srv := range slices.Concat(s.Servers(), s.Evacuated()) {
 			srv.SetLimit(int32(settings.ConnectionsPerInstance()))
 		}
 	}
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -18,10 +18,16 @@
 // a rank that differs between instances, determines which backend servers of a large
 // service an instance prefers.
 //
-// A backend server that states a rate limit is usable only while this instance holds
+// A backend server that states a rate limit, or is cold where Set.LimitWarmups limits the
+// requests to cold ones, is usable only while this instance holds
 // a permit for it (Server.GrantPermit), which the next attempt uses. Package
 // ratelimit obtains the permits.
 //
+// A request that leaves headroom to more urgent ones (Set.PickWithHeadroom, package
+// admission) gets a backend server only if a share of its range of load stays free: by
+// the cost that the policy estimates (server.HeadroomChecker), otherwise by the reported
+// occupancy.
+//
 // Load reports arrive with ordinary responses and with replies to load queries
 // (Server.RecordReport), and with replies to probes (Set.RecordProbeReply).
 //
--- a/pkg/routing/fresh/fresh.go
+++ b/pkg/routing/fresh/fresh.go
@@ -51,6 +51,10 @@
 	occupancyCost = 0.6
 	// coldFactor is the slowdown assumed while a backend server is cold.
 	coldFactor = 2
+	// limitedColdFactor applies instead where permits limit the requests to a cold backend
+	// server. It ranks after a warm one of the same failure domain, and before those of
+	// other failure domains.
+	limitedColdFactor = 1.25
 	// unresponsivePenalty is the cost added for a backend server that did not reply
 	// to a recent load query. It ranks such backend servers after all others.
 	unresponsivePenalty = 50
@@ -110,7 +114,7 @@
 // candidateSet holds the candidates of one decision, those of the own failure
 // domain first.
 type candidateSet struct {
-	servers    [localSubsetSize + remoteSubsetSize]*server.Server
+	servers    [maxCandidates]*server.Server
 	localCount int // number of candidates in the own failure domain
 	n          int // number of candidates
 }
@@ -119,6 +123,7 @@
 func (p *Policy) Choose(now time.Duration, l *server.List, r *rand.Rand, exclude []*server.Server) *server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	var best *server.Server
 	lowest := math.Inf(1)
 	for _, s := range candidates.servers[:candidates.n] {
@@ -147,6 +152,7 @@
 func (p *Policy) LoadQueryTargets(now time.Duration, l *server.List, r *rand.Rand, round server.LoadQueryRound, exclude, out []*server.Server) []*server.Server {
 	var candidates candidateSet
 	candidates.fill(l, exclude)
+	p.widen(now, &candidates, l, exclude)
 	from, to := 0, candidates.localCount
 	if round > server.LocalRound {
 		costThreshold := idleCost + secondRoundMargin
@@ -162,7 +168,7 @@
 		s    *server.Server
 		cost float64
 	}
-	var list [localSubsetSize + remoteSubsetSize]candidate
+	var list [maxCandidates]candidate
 	n := 0
 	for _, s := range candidates.servers[from:to] {
 		list[n] = candidate{s, p.cost(now, s) + queryJitter*r.Float64()}
@@ -179,10 +185,10 @@
 
 // HasSpareCapacity implements server.SpareCapacityChecker. It reports whether the
 // backend server has reported its load recently and is neither unresponsive, slow nor
-// nearly full.
+// nearly full, nor has just started.
 func (p *Policy) HasSpareCapacity(now time.Duration, s *server.Server) bool {
 	report, age, known := s.Reported(now)
-	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || report.Slowdown > maxHedgeSlowdown {
+	if !known || age > reportTimeConstant || s.IsUnresponsive(now) || s.IsCold(now) || report.Slowdown > maxHedgeSlowdown {
 		return false
 	}
 	return float64(report.Load()+s.BegunSinceReport()+1) <= maxHedgeOccupancy*slotsOf(report)
@@ -257,7 +263,10 @@
 		mean := max(idleCost, p.stats.MeanSlowdown())
 		factor = reportWeight*report.Slowdown + (1-reportWeight)*mean
 	}
-	if s.IsCold(now) {
+	switch {
+	case s.IsWarmupLimited():
+		factor = max(factor, limitedColdFactor)
+	case s.IsCold(now):
 		factor = max(factor, coldFactor)
 	}
 	return factor
--- a/pkg/routing/set.go
+++ b/pkg/routing/set.go
@@ -66,8 +66,11 @@
 	settings    atomic.Pointer[activeSettings]
 	pickCount   atomic.Uint64 // calls of Pick, counted only under a ProbeListener
 
+	warmup atomic.Pointer[warmupLimit] // see LimitWarmups
+
 	mu           sync.Mutex // serializes Update and Configure
 	serversByKey atomic.Pointer[map[string]*Server]
+	evacuated    atomic.Pointer[map[string]*Server] // evacuated backend servers, by key
 }
 
 // randShards is the number of random sources. A decision uses the first unlocked
@@ -89,7 +92,9 @@
 		s.randSources[i].rand = rand.New(rand.NewPCG(o.Seed, uint64(i)))
 	}
 	s.list.Store(server.NewList(nil, 0))
+	s.warmup.Store(&warmupLimit{})
 	s.serversByKey.Store(&map[string]*Server{})
+	s.evacuated.Store(&map[string]*Server{})
 	if err := s.Configure(o.Settings); err != nil {
 		return nil, err
 	}
@@ -98,22 +103,26 @@
 
 // Update replaces the list of backend servers. A backend server that is already
 // known keeps its state unless its failure domain changes. Backend servers that
-// are no longer listed get no new attempts; their attempts in flight continue.
-func (s *Set) Update(now time.Duration, list []Backend) {
+// are no longer listed get no new attempts; their attempts in flight continue. Evacuated
+// ones get none either, and are kept aside with their state. Update returns those whose
+// evacuation has ended: their weight is 0 until the calling code sets it.
+func (s *Set) Update(now time.Duration, list []Backend) (returned []*Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, known := *s.serversByKey.Load(), map[string]*Server{}
+	known := map[string]*Server{}
 	limit := int32(s.settings.Load().settings.ConnectionsPerInstance())
+	evacuated := s.evacuate(now, list, limit)
 	servers := make([]*Server, 0, len(list))
 	for _, b := range list {
 		key := b.Key()
-		if known[key] != nil {
+		if known[key] != nil || evacuated[key] != nil {
 			continue
 		}
-		srv := old[key]
-		if srv == nil || srv.FailureDomain() != b.FailureDomain {
-			srv = server.New(b, b.FailureDomain == s.options.FailureDomain, s.stats, limit)
-			srv.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
+		srv := s.keep(now, b, limit)
+		if srv.IsEvacuated() {
+			srv.SetWeight(0)
+			srv.SetEvacuated(false)
+			returned = append(returned, srv)
 		}
 		if b.WarmupRemaining > 0 {
 			srv.SetCold(now, b.WarmupRemaining)
@@ -136,6 +145,17 @@
 	}
 	s.list.Store(server.NewList(servers, local))
 	s.serversByKey.Store(&known)
+	s.evacuated.Store(&evacuated)
+	return returned
+}
+
+// newServer returns the state of a backend server that was not known before.
+func (s *Set) newServer(now time.Duration, b Backend, key string, limit int32) *Server {
+	srv := server.New(b, b.FailureDomain == s.options.FailureDomain, s.stats, limit)
+	srv.SetAffinity(xxhash.Sum64String(key) * (s.options.Seed | 1))
+	warmup := s.warmup.Load()
+	srv.LimitWarmup(now, warmup.perSecond, warmup.longest)
+	return srv
 }
 
 // maxPickTries is the number of decisions that Pick makes when other goroutines
@@ -146,6 +166,10 @@
 // Pick selects a backend server that is not in exclude and counts the attempt as
 // in flight. It returns nil if no backend server has capacity.
 func (s *Set) Pick(now time.Duration, exclude []*Server) *Server {
+	return s.pick(now, exclude, 0)
+}
+
+func (s *Set) pick(now time.Duration, exclude []*Server, headroom float64) *Server {
 	src := s.lockRandSource()
 	defer src.mu.Unlock()
 	l, st := s.list.Load(), s.settings.Load()
@@ -154,22 +178,25 @@
 	}
 	for range maxPickTries {
 		srv := st.policy.Choose(now, l, src.rand, exclude)
-		if srv == nil {
+		if srv == nil || !st.leavesHeadroom(now, srv, headroom) {
 			return nil
 		}
-		if s.begin(srv) {
+		if s.begin(now, srv) {
 			return srv
 		}
 	}
-	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && s.begin(srv) {
+	if srv := l.Draw(src.rand, 0, l.Len(), exclude); srv != nil && st.leavesHeadroom(now, srv, headroom) && s.begin(now, srv) {
 		return srv
 	}
 	return nil
 }
 
 // begin begins an attempt and reports the use of a permit.
-func (s *Set) begin(srv *Server) bool {
+func (s *Set) begin(now time.Duration, srv *Server) bool {
 	isRateLimited := srv.IsRateLimited()
+	if isRateLimited && srv.HasExpiredPermit(now) {
+		srv.RevokePermit()
+	}
 	if !srv.BeginAttempt() {
 		return false
 	}
@@ -181,14 +208,14 @@
 
 // HasSpareCapacity reports whether the backend server that the policy would select
 // has spare capacity for an optional attempt, such as a hedge. It returns false if
-// the policy would select none, and true if one is selected and the policy does not
-// implement server.SpareCapacityChecker.
+// the policy would select none or a cold one, whose permits are for other requests, and
+// true if one is selected and the policy does not implement server.SpareCapacityChecker.
 func (s *Set) HasSpareCapacity(now time.Duration, exclude []*Server) bool {
 	src := s.lockRandSource()
 	defer src.mu.Unlock()
 	st := s.settings.Load()
 	srv := st.policy.Choose(now, s.list.Load(), src.rand, exclude)
-	if srv == nil {
+	if srv == nil || srv.IsWarmupLimited() {
 		return false
 	}
 	return st.capacityChecker == nil || st.capacityChecker.HasSpareCapacity(now, srv)
