--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -74,7 +74,6 @@
 	l.blame(now, brokenAttempt{e.Fingerprint, e.At}, e.Address, e.At)
 }
 
-
 // isBlamedFor reports whether the crash that e states is known.
 func (l *List) isBlamedFor(e Evidence) bool {
 	return slices.ContainsFunc(l.blamed[e.Fingerprint], func(b blame) bool {
