review: idle connections keep Content-Length values of a megabyte

A head that is over the limit by zeros before its Content-Length is accepted, and the connection keeps that value as long as it is idle.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -15,6 +15,7 @@
 // cases are the scripts by name. Each returns whether the rule was broken.
 var cases = map[string]func(recordPath string, hasTrouble bool) (isBroken bool, err error){
 	"long-request-lines": longRequestLines,
+	"long-lengths":       longLengths,
 }
 
 func main() {
