review: machines that reach no seed each issue all permits of cold backend servers

Four machines are added while the three machines that their settings name as seeds are down. Each takes itself for the whole fleet, so that five issuers grant permits at the full rate.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(recordPath string, hasTrouble bool) (isBroken bool, err error){
 	"long-request-lines": longRequestLines,
 	"long-lengths":       longLengths,
+	"cold":               cold,
 }
 
 func main() {
