review: a planned stop cuts off pipelined requests

The second of two requests that a client has sent at once doesn't count as in progress when a machine drains: its connection is closed 2.6 s after SIGTERM.

--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -17,6 +17,7 @@
 	"long-request-lines": longRequestLines,
 	"long-lengths":       longLengths,
 	"cold":               cold,
+	"pipelined":          pipelined,
 	"crowd-of-heads":     crowdOfHeads,
 }
 
