review: the scripts on memory look only at whether a process ends

They read the private memory of the process and killed it before. Now the process has a limit of twice the memory of its machine, and the scripts look at whether it ends by itself. The heap that it states in its metrics is recorded.

--- a/review/_kit2/crowd.go
+++ b/review/_kit2/crowd.go
@@ -38,7 +38,7 @@
 // at once, each client one after another, while ordinary clients send orders. The memory of
 // the machine must be enough.
 func crowdOfHeads(recordPath string, hasTrouble bool) (isBroken bool, err error) {
-	l, err := newLab(recordPath, settings{memoryMB: smallMachineMB, maxFDs: smallMachineFDs, seeds: []int{0, 1}})
+	l, err := newLab(recordPath, settings{memoryMB: smallMachineMB, maxFDs: smallMachineFDs, seeds: []int{0, 1}, limitsMemory: true})
 	if err != nil {
 		return false, err
 	}
@@ -61,13 +61,13 @@
 	orders := l.startTraffic(ordersPerSecond)
 	time.Sleep(2 * time.Second)
 	l.logf("%d clients send heads of %d bytes with %d lines to machine 0; the limit is %d", crowdSize, len(head), strings.Count(head, "\r\n"), maxHeaderBytes)
-	guard := l.machines[0].guardMemory()
+	supervisor := l.machines[0].supervise()
 	var crowd sync.WaitGroup
 	var sent, answered atomic.Int64
 	end := time.Now().Add(crowdTime)
 	for range crowdSize {
 		crowd.Go(func() {
-			for time.Now().Before(end) && guard.kills.Load() == 0 {
+			for time.Now().Before(end) && supervisor.ends.Load() == 0 {
 				sent.Add(1)
 				if l.machines[0].sendUntilAnswer(head) {
 					answered.Add(1)
@@ -77,10 +77,8 @@
 	}
 	crowd.Wait()
 	l.logAnswers(orders.end(), b)
-	guard.end()
-	l.logf("machine 0: %d heads begun, %d answered; highest memory %.1f MB of %d MB, killed %d times",
-		sent.Load(), answered.Load(), float64(guard.highest)/bytesPerMB, smallMachineMB, guard.kills.Load())
-	return guard.kills.Load() > 0, nil
+	l.logf("heads begun to machine 0: %d, answered: %d", sent.Load(), answered.Load())
+	return supervisor.end(), nil
 }
 
 // sendUntilAnswer sends a head on a new connection until it is sent or the connection is
@@ -88,7 +86,7 @@
 func (m *machine) sendUntilAnswer(head string) bool {
 	conn, err := net.DialTimeout("tcp", m.front(), time.Second)
 	if err != nil {
-		time.Sleep(sampleInterval)
+		time.Sleep(dialPause)
 		return false
 	}
 	defer conn.Close()
--- a/review/_kit2/lab.go
+++ b/review/_kit2/lab.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -34,8 +35,14 @@
 	memoryMB, maxFDs int
 	seeds            []int  // indexes of machines
 	bounds           string // further members of bounds
+	limitsMemory     bool   // whether processes run under a limit of memory
 }
 
+// memoryLimitFactor is the limit of a process, as a multiple of the memory of its machine. The
+// limit also counts the address space that the process has reserved and does not use, 121 MB
+// at rest.
+const memoryLimitFactor = 2
+
 // lab is one run of a case: the store, the machines and the record.
 type lab struct {
 	settings settings
@@ -107,10 +114,12 @@
 
 // machine is one machine of the system and its process.
 type machine struct {
-	lab    *lab
-	index  int
-	ip     string
-	zone   string
+	lab   *lab
+	index int
+	ip    string
+	zone  string
+
+	mu     sync.Mutex // guards what follows
 	cmd    *exec.Cmd
 	exited chan struct{} // closed when the process has ended; nil: it was never started
 }
@@ -160,7 +169,12 @@
 		return err
 	}
 	defer out.Close()
-	cmd := exec.Command(entryProgram, "--operators-port", fmt.Sprint(operatorsPort))
+	command := []string{entryProgram, "--operators-port", fmt.Sprint(operatorsPort)}
+	if m.lab.settings.limitsMemory {
+		kib := memoryLimitFactor * m.lab.settings.memoryMB * bytesPerMB / bytesPerKiB
+		command = append([]string{"sh", "-c", `ulimit -d "$0" && exec "$@"`, fmt.Sprint(kib)}, command...)
+	}
+	cmd := exec.Command(command[0], command[1:]...)
 	// A machine has one core.
 	cmd.Env = append(os.Environ(), "LENTILPIN_CONFIG="+path, "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = out, out
@@ -173,7 +187,9 @@
 		m.lab.logf("machine %d: the process has ended: %s", m.index, cmd.ProcessState)
 		close(exited)
 	}()
+	m.mu.Lock()
 	m.cmd, m.exited = cmd, exited
+	m.mu.Unlock()
 	m.lab.logf("machine %d at %s: started", m.index, m.ip)
 	return nil
 }
@@ -213,12 +229,20 @@
 	})
 }
 
+// process returns the latest process, and a channel that is closed when it has ended.
+func (m *machine) process() (cmd *exec.Cmd, exited chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cmd, m.exited
+}
+
 func (m *machine) isRunning() bool {
-	if m.exited == nil {
+	_, exited := m.process()
+	if exited == nil {
 		return false
 	}
 	select {
-	case <-m.exited:
+	case <-exited:
 		return false
 	default:
 		return true
@@ -228,14 +252,16 @@
 // signal sends a signal to the process.
 func (m *machine) signal(s syscall.Signal) {
 	m.lab.logf("machine %d: %s", m.index, s)
-	_ = m.cmd.Process.Signal(s)
+	cmd, _ := m.process()
+	_ = cmd.Process.Signal(s)
 }
 
 // kill ends the process as a loss of power does, and waits until it has ended.
 func (m *machine) kill() {
 	if m.isRunning() {
-		_ = m.cmd.Process.Kill()
-		<-m.exited
+		cmd, exited := m.process()
+		_ = cmd.Process.Kill()
+		<-exited
 	}
 }
 
@@ -260,15 +286,29 @@
 	return fmt.Errorf("machine %d is not ready after %s", m.index, startTimeout)
 }
 
-// memoryBytes returns the private memory of the process, without the pages of its program
-// file: what the platform counts at least.
-func (m *machine) memoryBytes() int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", m.cmd.Process.Pid))
+// heapBytes returns the memory of the heap in use that the process states in its metrics; 0
+// if there is no answer.
+func (m *machine) heapBytes() float64 {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d/metrics", m.ip, operatorsPort))
 	if err != nil {
 		return 0
 	}
-	_, after, _ := strings.Cut(string(text), "RssAnon:")
-	kib := 0
-	_, _ = fmt.Sscan(after, &kib)
-	return kib * bytesPerKiB
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	_, after, _ := strings.Cut(string(text), "\ngo_memstats_heap_inuse_bytes ")
+	heap := 0.0
+	_, _ = fmt.Sscan(after, &heap)
+	return heap
+}
+
+// lastWords returns the first line that the process has written on its end as a fatal error.
+func (m *machine) lastWords() string {
+	text, _ := os.ReadFile(filepath.Join(m.lab.dir, fmt.Sprintf("entry-%d.log", m.index)))
+	i := strings.LastIndex(string(text), "fatal error:")
+	if i < 0 {
+		return ""
+	}
+	line, _, _ := strings.Cut(string(text[i:]), "\n")
+	return line
 }
--- a/review/_kit2/memory.go
+++ b/review/_kit2/memory.go
@@ -15,11 +15,11 @@
 	shortBytes     = 1_000
 	machineMB      = 284
 
-	maxHeads        = 1500 // to one machine
-	killsOfFault    = 3    // of one machine, after which a client stops
-	sampleInterval  = 20 * time.Millisecond
-	reportInterval  = 500 * time.Millisecond
+	maxHeads        = 2200 // to one machine
+	endsOfFault     = 3    // of one process, after which a client stops
+	sampleInterval  = 500 * time.Millisecond
 	restartDelay    = 500 * time.Millisecond
+	dialPause       = 20 * time.Millisecond
 	ordersPerSecond = 40
 )
 
@@ -31,63 +31,69 @@
  "clusters":[{"name":"orders","health-path":"/health","max-conns":260}]}`, maxHeaderBytes, shopHost)
 }
 
-// memoryGuard does what the platform does: it kills a process that exceeds the memory of its
-// machine and starts it again.
-type memoryGuard struct {
+// supervisor starts the process of a machine again when it has ended by itself, as the
+// platform does.
+type supervisor struct {
 	machine *machine
 	stop    chan struct{}
-	done    chan struct{}
-	highest int // bytes
-	kills   atomic.Int64
+	done    sync.WaitGroup
+	ends    atomic.Int64 // of the process, by itself
+	highest float64      // heap that the process has stated, in bytes
 }
 
-func (m *machine) guardMemory() *memoryGuard {
-	g := &memoryGuard{machine: m, stop: make(chan struct{}), done: make(chan struct{})}
-	go g.run()
-	return g
+func (m *machine) supervise() *supervisor {
+	s := &supervisor{machine: m, stop: make(chan struct{})}
+	s.done.Go(s.restart)
+	s.done.Go(s.sample)
+	return s
 }
 
-func (g *memoryGuard) run() {
-	defer close(g.done)
-	limit := g.machine.lab.settings.memoryMB * bytesPerMB
-	nextReport := time.Now()
+func (s *supervisor) restart() {
 	for {
+		_, exited := s.machine.process()
 		select {
-		case <-g.stop:
+		case <-s.stop:
 			return
-		case <-time.After(sampleInterval):
-		}
-		used := g.machine.memoryBytes()
-		g.highest = max(g.highest, used)
-		if now := time.Now(); now.After(nextReport) || used > limit {
-			nextReport = now.Add(reportInterval)
-			g.machine.lab.logf("machine %d: memory %.1f MB of %d MB", g.machine.index, float64(used)/bytesPerMB, limit/bytesPerMB)
-		}
-		if used <= limit {
-			continue
+		case <-exited:
 		}
-		g.kills.Add(1)
-		g.machine.lab.logf("machine %d: the platform kills the process, which exceeds the memory of its machine", g.machine.index)
-		g.machine.kill()
+		s.ends.Add(1)
+		s.machine.lab.logf("machine %d: its last words: %q", s.machine.index, s.machine.lastWords())
 		time.Sleep(restartDelay)
-		if err := g.machine.run(false); err != nil {
-			g.machine.lab.logf("machine %d: not started again: %v", g.machine.index, err)
+		if err := s.machine.run(false); err != nil {
+			s.machine.lab.logf("machine %d: not started again: %v", s.machine.index, err)
 			return
 		}
-		_ = g.machine.waitReady()
+		_ = s.machine.waitReady()
+	}
+}
+
+func (s *supervisor) sample() {
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(sampleInterval):
+		}
+		heap := s.machine.heapBytes()
+		s.highest = max(s.highest, heap)
+		s.machine.lab.logf("machine %d: heap of %.1f MB by its metrics", s.machine.index, heap/bytesPerMB)
 	}
 }
 
-func (g *memoryGuard) end() {
-	close(g.stop)
-	<-g.done
+// end stops the supervision and reports whether the process has ended by itself.
+func (s *supervisor) end() (hasEnded bool) {
+	close(s.stop)
+	s.done.Wait()
+	s.machine.lab.logf("machine %d of %d MB: the process has ended by itself %d times; its highest stated heap: %.1f MB",
+		s.machine.index, s.machine.lab.settings.memoryMB, s.ends.Load(), s.highest/bytesPerMB)
+	return s.ends.Load() > 0
 }
 
 // memoryCase lets an untrusted client send heads to each of two machines while ordinary
-// clients send orders. The memory of the machines must be enough. If keepsConnections, the
+// clients send orders. No process may end by itself. If keepsConnections, the
 // client keeps each connection after the answer, and closes it otherwise.
 func memoryCase(recordPath, head string, keepsConnections bool) (isBroken bool, err error) {
-	l, err := newLab(recordPath, settings{memoryMB: machineMB, maxFDs: 4100, seeds: []int{0, 1}})
+	l, err := newLab(recordPath, settings{memoryMB: machineMB, maxFDs: 4100, seeds: []int{0, 1}, limitsMemory: true})
 	if err != nil {
 		return false, err
 	}
@@ -109,29 +115,27 @@
 	orders := l.startTraffic(ordersPerSecond)
 	time.Sleep(2 * time.Second)
 	l.logf("one client for each machine sends up to %d requests, one after another, with heads of %d bytes; the limit is %d", maxHeads, len(head), maxHeaderBytes)
-	var guards []*memoryGuard
+	var supervisors []*supervisor
 	var clients sync.WaitGroup
 	for _, m := range l.machines {
-		g := m.guardMemory()
-		guards = append(guards, g)
-		clients.Go(func() { g.sendHeads(head, keepsConnections) })
+		s := m.supervise()
+		supervisors = append(supervisors, s)
+		clients.Go(func() { s.sendHeads(head, keepsConnections) })
 	}
 	clients.Wait()
 	time.Sleep(time.Second)
 	l.logAnswers(orders.end(), backends...)
-	for _, g := range guards {
-		g.end()
-		l.logf("machine %d: highest memory %.1f MB of %d MB, killed %d times", g.machine.index, float64(g.highest)/bytesPerMB, machineMB, g.kills.Load())
-		isBroken = isBroken || g.kills.Load() > 0
+	for _, s := range supervisors {
+		isBroken = s.end() || isBroken
 	}
 	return isBroken, nil
 }
 
-// sendHeads sends heads until the process was killed killsOfFault times.
-func (g *memoryGuard) sendHeads(head string, keepsConnections bool) {
+// sendHeads sends heads until the process has ended endsOfFault times.
+func (s *supervisor) sendHeads(head string, keepsConnections bool) {
 	answers := map[string]int{}
-	for n := 0; n < maxHeads && g.kills.Load() < killsOfFault; n++ {
-		conn, line := g.machine.sendHead(head)
+	for n := 0; n < maxHeads && s.ends.Load() < endsOfFault; n++ {
+		conn, line := s.machine.sendHead(head)
 		answers[line]++
 		if conn != nil && keepsConnections {
 			defer conn.Close()
@@ -139,7 +143,7 @@
 			_ = conn.Close()
 		}
 	}
-	g.machine.lab.logf("machine %d: answers to the untrusted client: %v", g.machine.index, answers)
+	s.machine.lab.logf("machine %d: answers to the untrusted client: %v", s.machine.index, answers)
 }
 
 // longRequestLines sends request lines over the limit. The client reads each refusal and
@@ -169,7 +173,7 @@
 func (m *machine) sendHead(text string) (net.Conn, string) {
 	conn, err := net.DialTimeout("tcp", m.front(), time.Second)
 	if err != nil {
-		time.Sleep(sampleInterval)
+		time.Sleep(dialPause)
 		return nil, "no connection"
 	}
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
