review: each case inside its rule and its limits, one taken back

review/6 and 7 now judge by the whole rule Fault: two machines, three ends each, over the memory of the machine by the process's own metrics, with clients within a quarter of the link.

--- a/review/_kit2/cold.go
+++ b/review/_kit2/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"time"
 )
 
@@ -10,9 +11,11 @@
 	warmupPerS       = 6.3
 	warmupOvershoot  = 1.5
 	warmupSlack      = 8.0
-	coldMachines     = 8 // at the start
-	coldSeeds        = 3 // of these, the first ones
-	coldAdded        = 4 // machines that are added
+	coldMachines     = 20 // at the start
+	coldSeeds        = 3  // of these, the first ones; they are removed
+	coldAdded        = 10 // machines that are added
+	crashDelay       = 800 * time.Millisecond
+	seedLag          = 3 * time.Second // after which settings name other seeds
 	coldDownTime     = 2 * time.Second
 	coldOrdersPerSec = 160
 )
@@ -24,8 +27,9 @@
  "clusters":[{"name":"orders","health-path":"/health","max-conns":1120,"warmup-s":3,"warmup-per-s":%g}]}`, shopHost, warmupPerS)
 }
 
-// cold counts the requests to cold backend servers. Before, machines are added while those
-// that their settings name as seeds have no power.
+// cold counts the requests to cold backend servers. The machines that are seeds are removed in
+// a planned stop, and others are added, whose settings name the removed ones until the seeds
+// have been updated. Without the disruption, they name machines that stay.
 func cold(recordPath string, hasTrouble bool) (isBroken bool, err error) {
 	l, err := newLab(recordPath, settings{
 		memoryMB: 536, maxFDs: 8192, seeds: []int{0, 1, 2},
@@ -54,17 +58,16 @@
 	}
 	orders := l.startTraffic(coldOrdersPerSec)
 	time.Sleep(6 * time.Second)
-	if hasTrouble {
-		l.logf("machines 0 to %d, the seeds, lose power", coldSeeds-1)
-		for _, m := range l.machines[:coldSeeds] {
-			m.kill()
-		}
+	l.removeSeeds()
+	begin := time.Now()
+	newSeeds := []int{coldSeeds, coldSeeds + 1, coldSeeds + 2}
+	if !hasTrouble {
+		l.settings.seeds = newSeeds
 	}
-	time.Sleep(time.Second)
 	if err := l.addAndStart(coldAdded, "zone-a"); err != nil {
 		return false, err
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(time.Until(begin.Add(crashDelay)))
 	l.logf("the backend servers of zone-a go down and come back together, cold")
 	for _, b := range inA {
 		b.crash()
@@ -79,6 +82,14 @@
 		defer b.close()
 		returned = append(returned, b)
 	}
+	time.Sleep(time.Until(begin.Add(seedLag)))
+	l.settings.seeds = newSeeds
+	for _, m := range l.machines[coldSeeds:] {
+		if err := m.writeSettings(false); err != nil {
+			return false, err
+		}
+	}
+	l.logf("the settings files of all machines name machines %v as seeds", newSeeds)
 	time.Sleep(warmupTime + 500*time.Millisecond)
 	l.logAnswers(orders.end(), append(all, returned...)...)
 	bound := warmupPerS*warmupOvershoot + warmupSlack
@@ -93,6 +104,17 @@
 	return isBroken, nil
 }
 
+// removeSeeds stops the seeds as the platform does for good, and returns when they have ended.
+func (l *lab) removeSeeds() {
+	for _, m := range l.machines[:coldSeeds] {
+		m.signal(syscall.SIGTERM)
+	}
+	for _, m := range l.machines[:coldSeeds] {
+		_, exited := m.process()
+		<-exited
+	}
+}
+
 // addAndStart adds machines and starts their processes, with the settings in effect now.
 func (l *lab) addAndStart(n int, zone string) error {
 	known := len(l.machines)
--- a/review/_kit2/lab.go
+++ b/review/_kit2/lab.go
@@ -156,12 +156,7 @@
 
 // run starts the process with its settings file.
 func (m *machine) run(bootstrap bool) error {
-	text, err := m.settingsFile(bootstrap)
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(m.lab.dir, fmt.Sprintf("local-%d.json", m.index))
-	if err := os.WriteFile(path, text, 0o600); err != nil {
+	if err := m.writeSettings(bootstrap); err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(m.lab.dir, fmt.Sprintf("entry-%d.log", m.index)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -176,7 +171,7 @@
 	}
 	cmd := exec.Command(command[0], command[1:]...)
 	// A machine has one core.
-	cmd.Env = append(os.Environ(), "LENTILPIN_CONFIG="+path, "GOMAXPROCS=1")
+	cmd.Env = append(os.Environ(), "LENTILPIN_CONFIG="+m.settingsPath(), "GOMAXPROCS=1")
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
@@ -194,6 +189,19 @@
 	return nil
 }
 
+func (m *machine) settingsPath() string {
+	return filepath.Join(m.lab.dir, fmt.Sprintf("local-%d.json", m.index))
+}
+
+// writeSettings writes the settings file with the settings in effect now.
+func (m *machine) writeSettings(bootstrap bool) error {
+	text, err := m.settingsFile(bootstrap)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(m.settingsPath(), text, 0o600)
+}
+
 func (m *machine) settingsFile(bootstrap bool) ([]byte, error) {
 	l := m.lab
 	seeds := []string{}
--- a/review/_kit2/main.go
+++ b/review/_kit2/main.go
@@ -18,7 +18,6 @@
 	"long-lengths":       longLengths,
 	"cold":               cold,
 	"pipelined":          pipelined,
-	"crowd-of-heads":     crowdOfHeads,
 }
 
 func main() {
--- a/review/_kit2/memory.go
+++ b/review/_kit2/memory.go
@@ -15,8 +15,10 @@
 	shortBytes     = 1_000
 	machineMB      = 284
 
-	maxHeads        = 2200 // to one machine
-	endsOfFault     = 3    // of one process, after which a client stops
+	maxHeads        = 1500             // to one machine
+	headInterval    = time.Second / 30 // between two heads to one machine
+	endsOfFault     = 3                // of one process
+	machinesOfFault = 2
 	sampleInterval  = 500 * time.Millisecond
 	restartDelay    = 500 * time.Millisecond
 	dialPause       = 20 * time.Millisecond
@@ -37,8 +39,11 @@
 	machine *machine
 	stop    chan struct{}
 	done    sync.WaitGroup
-	ends    atomic.Int64 // of the process, by itself
-	highest float64      // heap that the process has stated, in bytes
+	ends    atomic.Int64 // of the process by itself, after it has exceeded the memory of its machine
+
+	mu      sync.Mutex
+	current float64 // highest heap that the current process has stated, in bytes
+	highest float64 // of all
 }
 
 func (m *machine) supervise() *supervisor {
@@ -56,8 +61,11 @@
 			return
 		case <-exited:
 		}
-		s.ends.Add(1)
-		s.machine.lab.logf("machine %d: its last words: %q", s.machine.index, s.machine.lastWords())
+		heap := s.beginNext()
+		s.machine.lab.logf("machine %d: it had stated a heap of %.1f MB; its last words: %q", s.machine.index, heap/bytesPerMB, s.machine.lastWords())
+		if heap > float64(s.machine.lab.settings.memoryMB*bytesPerMB) {
+			s.ends.Add(1)
+		}
 		time.Sleep(restartDelay)
 		if err := s.machine.run(false); err != nil {
 			s.machine.lab.logf("machine %d: not started again: %v", s.machine.index, err)
@@ -75,22 +83,33 @@
 		case <-time.After(sampleInterval):
 		}
 		heap := s.machine.heapBytes()
-		s.highest = max(s.highest, heap)
+		s.mu.Lock()
+		s.current, s.highest = max(s.current, heap), max(s.highest, heap)
+		s.mu.Unlock()
 		s.machine.lab.logf("machine %d: heap of %.1f MB by its metrics", s.machine.index, heap/bytesPerMB)
 	}
 }
 
-// end stops the supervision and reports whether the process has ended by itself.
-func (s *supervisor) end() (hasEnded bool) {
+// beginNext returns the highest heap that the process has stated before its end.
+func (s *supervisor) beginNext() (heap float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heap, s.current = s.current, 0
+	return heap
+}
+
+// end stops the supervision and returns how often the process has ended by itself
+// after it has exceeded the memory of its machine.
+func (s *supervisor) end() (ends int64) {
 	close(s.stop)
 	s.done.Wait()
-	s.machine.lab.logf("machine %d of %d MB: the process has ended by itself %d times; its highest stated heap: %.1f MB",
+	s.machine.lab.logf("machine %d of %d MB: the process has exceeded this memory and ended by itself %d times; its highest stated heap: %.1f MB",
 		s.machine.index, s.machine.lab.settings.memoryMB, s.ends.Load(), s.highest/bytesPerMB)
-	return s.ends.Load() > 0
+	return s.ends.Load()
 }
 
 // memoryCase lets an untrusted client send heads to each of two machines while ordinary
-// clients send orders. No process may end by itself. If keepsConnections, the
+// clients send orders, and reports a Fault. If keepsConnections, the
 // client keeps each connection after the answer, and closes it otherwise.
 func memoryCase(recordPath, head string, keepsConnections bool) (isBroken bool, err error) {
 	l, err := newLab(recordPath, settings{memoryMB: machineMB, maxFDs: 4100, seeds: []int{0, 1}, limitsMemory: true})
@@ -125,16 +144,28 @@
 	clients.Wait()
 	time.Sleep(time.Second)
 	l.logAnswers(orders.end(), backends...)
+	return isFault(supervisors), nil
+}
+
+// isFault ends the supervision and reports whether the processes of as many machines as the
+// rule names have ended by themselves as often as it names.
+func isFault(supervisors []*supervisor) bool {
+	machines := 0
 	for _, s := range supervisors {
-		isBroken = s.end() || isBroken
+		if s.end() >= endsOfFault {
+			machines++
+		}
 	}
-	return isBroken, nil
+	return machines >= machinesOfFault
 }
 
-// sendHeads sends heads until the process has ended endsOfFault times.
+// sendHeads sends heads at a constant rate until the process has ended endsOfFault times.
 func (s *supervisor) sendHeads(head string, keepsConnections bool) {
 	answers := map[string]int{}
+	ticker := time.NewTicker(headInterval)
+	defer ticker.Stop()
 	for n := 0; n < maxHeads && s.ends.Load() < endsOfFault; n++ {
+		<-ticker.C
 		conn, line := s.machine.sendHead(head)
 		answers[line]++
 		if conn != nil && keepsConnections {
