A reset during an upload is no end of a response

The caller gets the part as a whole response.

Cause: the reset is reported to the write; the reads after it return what has arrived and then the end of the stream, which transport took for the end of a body that is delimited by it.

Change: the exchange keeps the error of the write. If it has failed, a body that is delimited by the end of the connection is truncated, and the exchange fails before the head is passed on. Responses that state where they end pass as before, also while the upload is being written.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -41,6 +42,9 @@
   "outlier": {"slowStartMs": 0}}},
  "regions": {"r": {"services": {"shop": {}}}}}`
 
+// unframedTreeText is treeText with responses whose body ends with their connection.
+var unframedTreeText = strings.Replace(treeText, `"defaults": {`, `"defaults": {"responses": {"unframed": true},`, 1)
+
 // timeClock is a clock.Clock based on package time, which synctest virtualizes.
 type timeClock struct{ start time.Time }
 
@@ -239,6 +243,17 @@
 	return slices.Clone(f.dialed)
 }
 
+// assignFaults gives each attempt, at whatever backend server, the next one of the faults.
+func (f *fixture) assignFaults(remaining []pipe.Fault) {
+	if len(remaining) == 0 {
+		return
+	}
+	assignRest := func() { f.assignFaults(remaining[1:]) }
+	for _, b := range f.backends {
+		b.SetScript(assignRest, remaining[0], remaining[0])
+	}
+}
+
 // countRuns returns how often all backend servers together ran the request with
 // the token.
 func (f *fixture) countRuns(token string) int {
@@ -358,3 +373,12 @@
 	r.Header.Set(pipe.TokenHeader, token)
 	return r
 }
+
+// uploadBytes is the size of a request body that a backend server does not read at once.
+const uploadBytes = 32 << 10
+
+// upload gives a request a body of uploadBytes.
+func upload(r *http.Request) *http.Request {
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("u", uploadBytes))), uploadBytes
+	return r
+}
--- a/pkg/gateway/invalid_status_test.go
+++ b/pkg/gateway/invalid_status_test.go
@@ -33,19 +33,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					f := newFixture(t, 1, len(tt.faults))
 					defer f.close()
-					remaining := tt.faults
-					var assign func()
-					assign = func() { // the next attempt at any backend server gets the next fault
-						if len(remaining) == 0 {
-							return
-						}
-						next := remaining[0]
-						remaining = remaining[1:]
-						for _, b := range f.backends {
-							b.SetScript(assign, next, next)
-						}
-					}
-					assign()
+					f.assignFaults(tt.faults)
 					r := read("a")
 					if isOrder {
 						r = order("a", f.owners[0].Issue(time.Minute))
--- a/pkg/gateway/state_machine_test.go
+++ b/pkg/gateway/state_machine_test.go
@@ -60,10 +60,18 @@
 	}
 }
 
+// sized makes an upload of each request whose token has an even digit at its end.
+func (m *stateMachine) sized(token string, r *http.Request) *http.Request {
+	if last := token[len(token)-2]; last%2 == 0 {
+		return upload(r)
+	}
+	return r
+}
+
 func (m *stateMachine) read(t *rapid.T) {
 	m.tokens++
 	token := fmt.Sprintf("read-%d.", m.tokens)
-	m.sendAsync(t, &sentRequest{token: token, isIdempotent: true}, read(token))
+	m.sendAsync(t, &sentRequest{token: token, isIdempotent: true}, m.sized(token, read(token)))
 }
 
 func (m *stateMachine) sendOrder(t *rapid.T) {
@@ -72,7 +80,7 @@
 	issuer := m.f.owners[rapid.IntRange(0, len(m.f.owners)-1).Draw(t, "issuer")]
 	m.keys[token] = issuer.Issue(20 * time.Second)
 	m.order = append(m.order, token)
-	m.sendAsync(t, &sentRequest{token: token, key: m.keys[token]}, order(token, m.keys[token]))
+	m.sendAsync(t, &sentRequest{token: token, key: m.keys[token]}, m.sized(token, order(token, m.keys[token])))
 }
 
 // resend sends a non-idempotent request again, like a caller that received no
@@ -82,7 +90,7 @@
 		t.Skip("no non-idempotent request sent yet")
 	}
 	token := rapid.SampledFrom(m.order).Draw(t, "token")
-	m.sendAsync(t, &sentRequest{token: token, key: m.keys[token]}, order(token, m.keys[token]))
+	m.sendAsync(t, &sentRequest{token: token, key: m.keys[token]}, m.sized(token, order(token, m.keys[token])))
 }
 
 func (m *stateMachine) toggleOwnerReachable(t *rapid.T) {
@@ -192,7 +200,7 @@
 func TestGatewayUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		synctest.Test(t, func(t *testing.T) {
-			m := &stateMachine{f: newFixture(t, 3, 4), keys: map[string]string{}, results: make(chan *sentRequest, 1000)}
+			m := &stateMachine{f: newFixtureWith(t, 3, 4, unframedTreeText), keys: map[string]string{}, results: make(chan *sentRequest, 1000)}
 			defer m.f.close()
 			rt.Repeat(map[string]func(*rapid.T){
 				"faults": m.faults, "read": m.read, "order": m.sendOrder, "repeat": m.resend,
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -65,6 +65,7 @@
 	conn             *conn
 	buffers          *buffers
 	stopContextWatch func() bool // unregisters the context.AfterFunc; false if the context ended first
+	writeErr         error       // why the request was not written completely; the response may be complete nevertheless
 	reusable         bool        // framing and both sides permit another exchange on the connection
 	skippedResponse  bool        // a response of an earlier exchange was skipped
 	response         Response
@@ -77,20 +78,20 @@
 		return nil, x.fail(ctx, Timeout, err)
 	}
 	x.conn.recordID(x.buffers.exchange[0])
-	writeErr := x.write()
-	if writeErr != nil && (x.conn.bytesWritten == 0 || ctx.Err() != nil) {
-		return nil, x.fail(ctx, Write, writeErr)
+	x.writeErr = x.write()
+	if x.writeErr != nil && (x.conn.bytesWritten == 0 || ctx.Err() != nil) {
+		return nil, x.fail(ctx, Write, x.writeErr)
 	}
 	// A backend server that rejects a request early may respond and close before
 	// it has read the whole request.
 	head, err := x.readMatchingHead(names)
 	switch {
-	case err != nil && writeErr != nil:
-		return nil, x.fail(ctx, Write, writeErr)
+	case err != nil && x.writeErr != nil:
+		return nil, x.fail(ctx, Write, x.writeErr)
 	case err != nil:
 		return nil, x.fail(ctx, Read, err)
 	}
-	x.reusable = writeErr == nil && !head.Close && !x.skippedResponse
+	x.reusable = x.writeErr == nil && !head.Close && !x.skippedResponse
 	x.conn.backendIdleTimeout = keepAliveTimeout(head.Header)
 	if err := x.validateHead(r, head, names); err != nil {
 		return nil, x.fail(ctx, Malformed, err)
@@ -102,6 +103,9 @@
 	}
 	x.response.Signals = names.extractSignals(head.StatusCode, head.Header)
 	removeHopByHop(head.Header)
+	if err := x.verifyEnd(head); err != nil && !x.response.Signals.Shed {
+		return nil, x.fail(ctx, Write, err) // clearer for the caller than a response that breaks off
+	}
 	if head.Body == http.NoBody || head.ContentLength == 0 || r.Method == http.MethodHead {
 		x.response.Body = http.NoBody
 		x.finish()
@@ -242,8 +246,8 @@
 		}
 		x.skippedResponse = true
 		x.pool.recorder.Record(eventLateResponseSkipped, events.F("address", x.conn.backend.address), events.F("exchange", receivedID))
-		if head.ContentLength < 0 && len(head.TransferEncoding) == 0 && head.Body != http.NoBody {
-			return nil, ErrExchangeMismatch // the body is delimited by the end of the connection
+		if isUnframed(head) {
+			return nil, ErrExchangeMismatch
 		}
 		x.conn.readLimit = maxSkippedBodyBytes
 		if _, err := io.Copy(io.Discard, head.Body); err != nil {
@@ -283,8 +287,7 @@
 	if head.ContentLength > maxResponseBytes {
 		return ErrTooLarge
 	}
-	hasBody := r.Method != http.MethodHead && head.Body != http.NoBody
-	if hasBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0 && !names.settings.Responses.Unframed {
+	if isUnframed(head) && !names.settings.Responses.Unframed {
 		return ErrUnframed
 	}
 	if err := x.verifyExchange(r, head, names); err != nil {
@@ -294,6 +297,22 @@
 	return nil
 }
 
+// isUnframed reports whether the body is delimited by the end of the connection.
+func isUnframed(head *http.Response) bool {
+	return head.Body != http.NoBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0
+}
+
+// verifyEnd returns ErrTruncated if the end of the stream does not prove that the body is
+// complete. A reset is reported once, to the write or to the read that is in progress; after
+// a failed write, a read returns the bytes that have arrived and then the end of the stream.
+// A body whose head states where it ends needs no such proof.
+func (x *exchange) verifyEnd(head *http.Response) error {
+	if x.writeErr == nil || !isUnframed(head) {
+		return nil
+	}
+	return errors.Wrap(ErrTruncated, x.writeErr.Error())
+}
+
 // verifyExchange checks that the response belongs to the request.
 func (x *exchange) verifyExchange(r *Request, head *http.Response, names *fieldNames) error {
 	received := head.Header[names.exchange]
@@ -330,6 +349,8 @@
 		b.closeIdleAfterTimeout()
 	case f.Kind == Malformed:
 		x.pool.recorder.Record(eventResponseMalformed, events.F("address", b.address), events.F("error", f.Err.Error()))
+	case errors.Is(f.Err, ErrTruncated):
+		x.pool.recorder.Record(eventResponseTruncated, events.F("address", b.address), events.F("error", f.Err.Error()))
 	}
 	return f
 }
@@ -402,12 +423,16 @@
 	}
 	x := b.exchange
 	b.exchange = nil
-	if err == io.EOF {
+	endErr := x.verifyEnd(b.head)
+	if err == io.EOF && endErr == nil {
 		b.err = io.EOF
 		x.response.Trailer = b.head.Trailer
 		removeHopByHop(x.response.Trailer)
 		x.finish()
 	} else {
+		if err == io.EOF {
+			err = endErr
+		}
 		b.err = x.failBody(b.ctx, err)
 	}
 	b.head = nil
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -52,6 +52,7 @@
 	LongBody                         // runs the request and responds with a long body
 	InvalidStatus                    // runs the request and responds with status 000
 	InvalidAfterInterim              // runs the request and responds with an interim response and bytes that are no head
+	EarlyPart                        // runs the request before its body has arrived, sends part of a body without length and resets the connection
 	RefuseConnection                 // refuses a new connection; a request on an open connection is served
 	FaultCount
 )
@@ -203,9 +204,10 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	clientEnd, serverEnd := net.Pipe()
+	pipeEnd, serverEnd := net.Pipe()
+	clientEnd := &resettable{Conn: pipeEnd}
 	b.conns, b.callers = append(b.conns, serverEnd), append(b.callers, caller)
-	go b.serveConn(serverEnd)
+	go b.serveConn(serverEnd, clientEnd)
 	return clientEnd, nil
 }
 
@@ -226,7 +228,7 @@
 	b.runs[token]++
 }
 
-func (b *Backend) serveConn(c net.Conn) {
+func (b *Backend) serveConn(c net.Conn, client *resettable) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
@@ -238,6 +240,11 @@
 		if f == CloseUnread {
 			return
 		}
+		if f == EarlyPart {
+			b.countRun(req.Header.Get(TokenHeader))
+			client.reset([]byte("HTTP/1.1 200 x\r\n\r\npart"))
+			return
+		}
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
 			return
