transport: reading heads and bodies in files of their own

Cause: exchange.go had grown to 480 lines and three duties. Change: head.go reads and verifies heads, body.go reads bodies and decides whether they are complete; exchange.go has 300 lines. No behaviour changes but the text of one error, which said twice that the response was truncated.

--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -104,7 +104,8 @@
 	x.response.Signals = names.extractSignals(head.StatusCode, head.Header)
 	removeHopByHop(head.Header)
 	if err := x.verifyEnd(head); err != nil && !x.response.Signals.Shed {
-		return nil, x.fail(ctx, Write, err) // clearer for the caller than a response that breaks off
+		// An error is clearer for the caller than a response that breaks off.
+		return nil, x.fail(ctx, Write, errors.Wrap(ErrTruncated, err.Error()))
 	}
 	if head.Body == http.NoBody || head.ContentLength == 0 || r.Method == http.MethodHead {
 		x.response.Body = http.NoBody
@@ -231,112 +232,6 @@
 	return nil
 }
 
-// readMatchingHead reads the head of the response to this request. Where
-// responses are signed, preceding responses of earlier exchanges are skipped: a
-// backend server may respond to a request twice, the second time late.
-func (x *exchange) readMatchingHead(names *fieldNames) (*http.Response, error) {
-	for range maxSkippedResponses {
-		head, err := x.readFinalHead()
-		if err != nil || !names.responsesSigned() {
-			return head, err
-		}
-		receivedID := head.Header.Get(names.exchange)
-		if receivedID == x.buffers.exchange[0] || receivedID == "" {
-			return head, nil
-		}
-		x.skippedResponse = true
-		x.pool.recorder.Record(eventLateResponseSkipped, events.F("address", x.conn.backend.address), events.F("exchange", receivedID))
-		if isUnframed(head) {
-			return nil, ErrExchangeMismatch
-		}
-		x.conn.readLimit = maxSkippedBodyBytes
-		if _, err := io.Copy(io.Discard, head.Body); err != nil {
-			return nil, err
-		}
-		x.conn.readLimit = maxResponseHeadBytes
-	}
-	return nil, ErrExchangeMismatch
-}
-
-// readFinalHead reads interim (1xx) responses and returns the head of the final
-// response.
-func (x *exchange) readFinalHead() (*http.Response, error) {
-	for range maxInterimResponses {
-		head, err := http.ReadResponse(x.buffers.reader, &x.buffers.request)
-		if err != nil {
-			return nil, err
-		}
-		if err := validateStatus(head); err != nil {
-			return nil, err
-		}
-		if head.StatusCode >= http.StatusOK {
-			return head, nil
-		}
-		if head.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.Wrap(errMalformed, "protocol switch that was not requested")
-		}
-	}
-	return nil, errors.Wrap(errMalformed, "too many interim responses")
-}
-
-var errMalformed = errors.New("malformed response")
-
-// validateHead rejects a response whose completeness, or whose match with the
-// request, cannot be verified.
-func (x *exchange) validateHead(r *Request, head *http.Response, names *fieldNames) error {
-	if head.ContentLength > maxResponseBytes {
-		return ErrTooLarge
-	}
-	if isUnframed(head) && !names.settings.Responses.Unframed {
-		return ErrUnframed
-	}
-	if err := x.verifyExchange(r, head, names); err != nil {
-		x.pool.recorder.Record(eventResponseMismatch, events.F("address", x.conn.backend.address), events.F("error", err.Error()))
-		return err
-	}
-	return nil
-}
-
-// isUnframed reports whether the body is delimited by the end of the connection.
-func isUnframed(head *http.Response) bool {
-	return head.Body != http.NoBody && head.ContentLength < 0 && len(head.TransferEncoding) == 0
-}
-
-// verifyEnd returns ErrTruncated if the end of the stream does not prove that the body is
-// complete. A reset is reported once, to the write or to the read that is in progress; after
-// a failed write, a read returns the bytes that have arrived and then the end of the stream.
-// A body whose head states where it ends needs no such proof.
-func (x *exchange) verifyEnd(head *http.Response) error {
-	if x.writeErr == nil || !isUnframed(head) {
-		return nil
-	}
-	return errors.Wrap(ErrTruncated, x.writeErr.Error())
-}
-
-// verifyExchange checks that the response belongs to the request.
-func (x *exchange) verifyExchange(r *Request, head *http.Response, names *fieldNames) error {
-	received := head.Header[names.exchange]
-	matches := len(received) == 1 && received[0] == x.buffers.exchange[0]
-	switch {
-	case len(received) > 0 && !matches:
-		return ErrExchangeMismatch
-	case !names.responsesSigned():
-		return nil
-	case r.Probe && names.instance != "":
-		if id := head.Header.Get(names.instance); id != "" && r.ExpectedInstance != "" && id != r.ExpectedInstance {
-			return ErrInstanceMismatch
-		}
-		return nil
-	case head.StatusCode >= http.StatusMultipleChoices && x.conn.exchanges == 1:
-		return nil // the first response on a connection is no copy of an earlier one
-	case !matches:
-		return ErrExchangeMismatch
-	case head.StatusCode < http.StatusMultipleChoices && head.Header.Get(names.signature) == "":
-		return ErrUnsigned
-	}
-	return nil
-}
-
 // fail ends an exchange that has no response.
 func (x *exchange) fail(ctx context.Context, kind FailureKind, err error) *Failure {
 	x.stopContextWatch()
@@ -402,74 +297,3 @@
 	}
 	c.backend.release(c, x.reusable)
 }
-
-// body is the body of a response. Read and Close must not be called
-// concurrently; to interrupt a Read, cancel the context of the exchange.
-type body struct {
-	exchange *exchange // nil once the exchange has ended
-	head     *http.Response
-	ctx      context.Context
-	err      error
-}
-
-// Read implements io.Reader. It returns io.EOF only after the complete body.
-func (b *body) Read(p []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.head.Body.Read(p)
-	if err == nil {
-		return n, nil
-	}
-	x := b.exchange
-	b.exchange = nil
-	endErr := x.verifyEnd(b.head)
-	if err == io.EOF && endErr == nil {
-		b.err = io.EOF
-		x.response.Trailer = b.head.Trailer
-		removeHopByHop(x.response.Trailer)
-		x.finish()
-	} else {
-		if err == io.EOF {
-			err = endErr
-		}
-		b.err = x.failBody(b.ctx, err)
-	}
-	b.head = nil
-	return n, b.err
-}
-
-// failBody ends an exchange whose response body is incomplete.
-func (x *exchange) failBody(ctx context.Context, err error) error {
-	x.stopContextWatch()
-	c := x.conn
-	c.backend.drop(c, false)
-	x.buffers.recycle()
-	switch ctxErr := context.Cause(ctx); {
-	case ctxErr == nil && errors.Is(err, ErrTooLarge):
-		err = ErrTooLarge
-	case ctxErr == nil:
-		err = errors.Wrap(ErrTruncated, err.Error())
-	default:
-		err = ctxErr
-		if errors.Is(ctxErr, context.DeadlineExceeded) {
-			c.backend.closeIdleAfterTimeout()
-		}
-		return err
-	}
-	x.pool.recorder.Record(eventResponseTruncated, events.F("address", c.backend.address), events.F("error", err.Error()))
-	return err
-}
-
-// Close closes the connection unless the body was read to io.EOF.
-func (b *body) Close() error {
-	x := b.exchange
-	if x == nil {
-		return nil
-	}
-	b.exchange, b.head, b.err = nil, nil, http.ErrBodyReadAfterClose
-	x.stopContextWatch()
-	x.conn.backend.drop(x.conn, false)
-	x.buffers.recycle()
-	return nil
-}
