Heads of responses are read as RFC 9112 has them, not repaired

What callers saw: a response in whose head the name of a field holds a blank is passed on; with "Transfer-Encoding : chunked" its body is the framing of the chunks. Status 000 and control bytes in names were refused already.

Cause: the entry believed http.ReadResponse, which repairs such heads.

Change: framing.CheckResponseHead checks the bytes of each head, final or interim, as they arrived, and replaces the check of the status. Names in trailers are checked at the end of the body. A malformed response fails the exchange: 502 with run unknown.

--- a/pkg/framing/doc.go
+++ b/pkg/framing/doc.go
@@ -1,4 +1,5 @@
-// Package framing decides once where each request on a connection ends.
+// Package framing decides once where each request on a connection ends, and whether a
+// response is well formed.
 //
 // Where two readers of a connection differ on the end of a request, requests that are
 // hidden in others are run (request smuggling, RFC 9112, section 11.2). A Listener puts a
@@ -20,5 +21,8 @@
 // a mark (see IsOverLimit). The request line of the last request stays counted while a
 // connection is idle, because net/http keeps a part of it.
 //
+// CheckResponseHead decides whether the head of a response is well formed. A malformed one is
+// not repaired: the response is refused.
+//
 // State: of one connection, at most one head; of an idle one, no bytes.
 package framing
--- a/pkg/framing/head.go
+++ b/pkg/framing/head.go
@@ -61,16 +61,17 @@
 	return lineGoesOn
 }
 
-// head holds what the fields of a request say about its framing. It refers to none of
+// head holds what the fields of a message say about its framing. It refers to none of
 // their bytes.
 type head struct {
-	isHTTP10  bool
-	lengths   int    // number of Content-Length fields
-	length    uint64 // of the first one
-	isLength  bool   // whether the first one is a length
-	encodings int    // number of Transfer-Encoding fields
-	isChunked bool   // whether the first one is chunked
-	err       string // the first reason why the framing is not certain
+	isHTTP10      bool
+	lengths       int    // number of Content-Length fields
+	length        uint64 // of the first one
+	isLength      bool   // whether the first one is a length
+	lengthsDiffer bool   // whether a further one is not the first length
+	encodings     int    // number of Transfer-Encoding fields
+	isChunked     bool   // whether the first one is chunked
+	err           string // the first reason why the framing is not certain
 }
 
 // framing is where the body of a request ends. If err is not empty, that is not certain.
@@ -95,9 +96,11 @@
 	case !ok:
 		h.fail("a line is no header field")
 	case bytes.EqualFold(name, []byte("Content-Length")):
+		length, isLength := parseLength(value)
 		if h.lengths++; h.lengths == 1 {
-			h.length, h.isLength = parseLength(value)
+			h.length, h.isLength = length, isLength
 		}
+		h.lengthsDiffer = h.lengthsDiffer || !isLength || length != h.length
 	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
 		if h.encodings++; h.encodings == 1 {
 			h.isChunked = bytes.EqualFold(value, []byte("chunked"))
--- a/pkg/gateway/invalid_status_test.go
+++ b/pkg/gateway/invalid_response_test.go
@@ -15,8 +15,8 @@
 )
 
 // Guards against a request that is reported as not run, or refused with a status that
-// guarantees it, although a backend server has run it: its response had no valid status,
-// and no further attempt ran.
+// guarantees it, although a backend server has run it: its response had no valid status or
+// no valid head, and no further attempt ran.
 func TestRunAfterInvalidResponse(t *testing.T) {
 	for _, tt := range []struct {
 		desc   string
@@ -24,6 +24,8 @@
 	}{
 		{"only attempt", []pipe.Fault{pipe.InvalidStatus}},
 		{"interim response first", []pipe.Fault{pipe.InvalidAfterInterim}},
+		{"blank in the name of a field", []pipe.Fault{pipe.InvalidField}},
+		{"blank in the name of a field, then a refusal", []pipe.Fault{pipe.InvalidField, pipe.Shed}},
 		{"the second backend server refuses", []pipe.Fault{pipe.InvalidStatus, pipe.Shed}},
 		{"the second connection is refused", []pipe.Fault{pipe.InvalidStatus, pipe.RefuseConnection}},
 		{"a broken connection, then a refusal", []pipe.Fault{pipe.CloseAfterRun, pipe.Shed}},
@@ -31,7 +33,7 @@
 		for _, isOrder := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, order %t", tt.desc, isOrder), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					f := newFixture(t, 1, len(tt.faults))
+					f := newFixtureWith(t, 1, len(tt.faults), unframedTreeText)
 					defer f.close()
 					f.assignFaults(tt.faults)
 					r := read("a")
@@ -50,9 +52,9 @@
 }
 
 // Guards against an order that is run again, or reported as not run, because the peer to
-// which it was handed sends a response without a valid status.
+// which it was handed sends a response without a valid status or without a valid head.
 func TestRunAfterInvalidResponseOfPeer(t *testing.T) {
-	for _, status := range []string{"000", "999", "103 x\r\n\r\nno"} {
+	for _, status := range []string{"000", "999", "103 x\r\n\r\nno", "200 x\r\nX A: 1\r\nX-B:"} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(t, 2, 4)
 			defer f.close()
--- a/pkg/transport/body.go
+++ b/pkg/transport/body.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/events"
+	"lentilpin/pkg/framing"
 )
 
 // body is the body of a response. Read and Close must not be called
@@ -33,6 +34,9 @@
 	if err == io.EOF {
 		err = x.verifyEnd(b.head)
 	}
+	if err == nil {
+		err = framing.CheckFieldNames(b.head.Trailer)
+	}
 	if err == nil {
 		b.err = io.EOF
 		x.response.Trailer = b.head.Trailer
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -154,6 +154,7 @@
 // buffers holds the read and write buffers and the request state that a
 // connection needs only during an exchange.
 type buffers struct {
+	input        input // what reader reads from
 	reader       *bufio.Reader
 	writer       *bufio.Writer
 	request      http.Request
@@ -174,23 +175,25 @@
 func (*requestBody) Close() error { return nil }
 
 var buffersPool = sync.Pool{New: func() any {
-	return &buffers{
-		reader: bufio.NewReaderSize(nil, readBufferBytes),
+	b := &buffers{
 		writer: bufio.NewWriterSize(nil, writeBufferBytes),
 		header: make(http.Header, initialHeaderFields),
 	}
+	b.reader = bufio.NewReaderSize(&b.input, readBufferBytes)
+	return b
 }}
 
 func takeBuffers(c *conn) *buffers {
 	b := buffersPool.Get().(*buffers)
-	b.reader.Reset(c)
+	b.input.conn = c
 	b.writer.Reset(c)
 	return b
 }
 
 // recycle returns the buffers to the pool. They must not be used afterwards.
 func (b *buffers) recycle() {
-	b.reader.Reset(nil)
+	b.input.recycle()
+	b.reader.Reset(&b.input)
 	b.writer.Reset(nil)
 	clear(b.header)
 	if b.headerFields > maxPooledHeaderFields {
--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -32,16 +32,20 @@
 //
 // # Responses
 //
-// A status outside 100 to 599 is not a response: the exchange fails, its connection is
-// closed, and whether the request ran is unknown. An interim response is skipped only if
-// a further head follows.
-//
-// A response must state its length (Content-Length, chunked coding, or a status
-// without a body). A response body delimited by the end of the connection is
-// rejected, because truncation cannot be detected, unless responses.unframed
-// permits it: then an orderly close ends the body and a reset counts as
-// truncation. Body returns ErrTruncated or the error of the context instead of
-// io.EOF if the response is incomplete.
+// Whether a head is well formed, interim responses included, is decided by
+// framing.CheckResponseHead, from its bytes: net/http repairs heads that RFC 9112 does not
+// allow. A malformed one, for example with a status outside 100 to 599, is not a response:
+// the exchange fails, its connection is closed, and whether the request ran is unknown. An
+// interim response is skipped only if a further head follows.
+//
+// Whether a body is complete is decided when it ends. A response must state its length
+// (Content-Length, chunked coding, or a status without a body). A response body
+// delimited by the end of the connection is rejected, because truncation cannot be
+// detected, unless responses.unframed permits it: then an orderly close ends the body,
+// and a reset counts as truncation, whether the write of the request or a read reports
+// it. Body returns ErrTruncated or the error of the context instead of io.EOF if the
+// response is incomplete or its trailers are not well formed. A response that arrives
+// while the request is being written is read after the write has ended.
 //
 // Where backend servers sign their responses (headers.signature), a successful
 // response must carry the signature and the ID of its exchange. A preceding
--- a/pkg/transport/fuzz_test.go
+++ b/pkg/transport/fuzz_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"lentilpin/pkg/framing"
 	"lentilpin/pkg/transport"
 	"lentilpin/standin/socket"
 )
@@ -71,6 +72,9 @@
 		if !complete {
 			return
 		}
+		if err := framing.CheckFieldNames(resp.Header); err != nil {
+			t.Fatalf("accepted %q: %v", raw, err)
+		}
 		if resp.ContentLength >= 0 && !head && resp.Status != http.StatusNotModified && int64(len(body)) != resp.ContentLength {
 			t.Fatalf("body has %d bytes, Content-Length is %d", len(body), resp.ContentLength)
 		}
--- a/pkg/transport/head.go
+++ b/pkg/transport/head.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/events"
+	"lentilpin/pkg/framing"
 )
 
 // readMatchingHead reads the head of the response to this request. Where
@@ -40,25 +41,20 @@
 // response.
 func (x *exchange) readFinalHead() (*http.Response, error) {
 	for range maxInterimResponses {
-		head, err := http.ReadResponse(x.buffers.reader, &x.buffers.request)
+		head, err := x.buffers.input.readHead(x.buffers.reader, &x.buffers.request)
 		if err != nil {
 			return nil, err
 		}
-		if err := validateStatus(head); err != nil {
-			return nil, err
-		}
 		if head.StatusCode >= http.StatusOK {
 			return head, nil
 		}
 		if head.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.Wrap(errMalformed, "protocol switch that was not requested")
+			return nil, errors.Wrap(framing.ErrMalformedResponse, "protocol switch that was not requested")
 		}
 	}
-	return nil, errors.Wrap(errMalformed, "too many interim responses")
+	return nil, errors.Wrap(framing.ErrMalformedResponse, "too many interim responses")
 }
 
-var errMalformed = errors.New("malformed response")
-
 // validateHead rejects a response whose completeness, or whose match with the
 // request, cannot be verified.
 func (x *exchange) validateHead(r *Request, head *http.Response, names *fieldNames) error {
--- a/standin/pipe/pipe.go
+++ b/standin/pipe/pipe.go
@@ -52,6 +52,7 @@
 	LongBody                         // runs the request and responds with a long body
 	InvalidStatus                    // runs the request and responds with status 000
 	InvalidAfterInterim              // runs the request and responds with an interim response and bytes that are no head
+	InvalidField                     // runs the request and responds in chunks, which a field with a blank in its name states; closes the connection
 	EarlyPart                        // runs the request before its body has arrived, sends part of a body without length and resets the connection
 	RefuseConnection                 // refuses a new connection; a request on an open connection is served
 	FaultCount
@@ -303,6 +304,9 @@
 	case InvalidAfterInterim:
 		_, err := io.WriteString(c, "HTTP/1.1 103 x\r\n\r\nno head\r\n\r\n")
 		return err == nil
+	case InvalidField:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+		return false
 	case Truncate:
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2])
 		return false
