A response that gave way does not end as if it were complete

A response in chunks gives way to those of others while its caller takes a part; the caller then gets the end of the chunks, and with it a part as a whole response.

Cause: only a response that its backend server cut short ended the connection. One that gave way between two writes returned from the handler with no write having failed, and net/http ended it in order.

Change: each response that is aborted after its head was sent ends the connection without the end of the response.

Result: TestResponseThatGaveWayBreaksOff failed before; 5 runs pass under the race detector.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -344,6 +344,27 @@
 // send passes one request through a gateway and recovers http.ErrAbortHandler
 // as net/http does.
 func (f *fixture) send(g *Gateway, r *http.Request) (out response) {
+	return f.sendTo(g, r, func() {})
+}
+
+// takingWriter calls taken when it has taken the first part of a body.
+type takingWriter struct {
+	*httptest.ResponseRecorder
+	taken func()
+}
+
+// Write implements http.ResponseWriter.
+func (w *takingWriter) Write(p []byte) (int, error) {
+	n, err := w.ResponseRecorder.Write(p)
+	if taken := w.taken; taken != nil {
+		w.taken = nil
+		taken()
+	}
+	return n, err
+}
+
+// sendTo is send for a caller that calls taken when it has taken the first part of the body.
+func (f *fixture) sendTo(g *Gateway, r *http.Request, taken func()) (out response) {
 	out.ResponseRecorder = httptest.NewRecorder()
 	defer func() {
 		if p := recover(); p == http.ErrAbortHandler {
@@ -352,7 +373,7 @@
 			panic(p)
 		}
 	}()
-	g.ServeHTTP(out, r)
+	g.ServeHTTP(&takingWriter{out.ResponseRecorder, taken}, r)
 	return out
 }
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -119,7 +119,7 @@
 	if !c.record.HandedOn {
 		c.g.countOutcome(c.svc, res, c.record.Duration)
 	}
-	if res.outcome == audit.OutcomeAborted && res.reason == reasonResponseCut {
+	if res.outcome == audit.OutcomeAborted && res.status != 0 {
 		// net/http closes the connection without ending the response. This is
 		// the only way left to signal to the caller that the response is
 		// incomplete.
--- a/pkg/gateway/slow_reader_test.go
+++ b/pkg/gateway/slow_reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +19,7 @@
 	"lentilpin/pkg/audit"
 	"lentilpin/pkg/config/static"
 	"lentilpin/pkg/transport"
+	"lentilpin/standin/pipe"
 )
 
 // slowWriter is a caller that takes a part of a response in pause.
@@ -116,3 +118,26 @@
 		require.ErrorIs(t, slow.writePart(nil, false), errGaveWay)
 	})
 }
+
+// Guards against a response that ends as if it were complete although it gave way while its
+// caller was taking a part of it, so that no write has failed.
+func TestResponseThatGaveWayBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixtureWith(t, 1, 1, strings.Replace(treeText, `"timeoutMs": 1000`, `"timeoutMs": 10000`, 1))
+		defer f.close()
+		g := f.gateways[0]
+		for _, b := range f.backends {
+			b.SetScript(nil, pipe.LongBody)
+		}
+		got := f.sendTo(g, read("a"), func() {
+			time.Sleep(responsePatience)
+			other := &call{g: g, w: httptest.NewRecorder()}
+			other.holdResponse(math.MaxInt64) // the first one gives way, later than this one waits
+			other.releaseResponse()
+		})
+		require.EqualValues(t, 1, g.limits.responses.memory.Stats().GaveWay)
+		require.Equal(t, http.StatusOK, got.Code)
+		require.Less(t, got.Body.Len(), 20<<10)
+		require.True(t, got.broken)
+	})
+}
