A response that breaks off does not look complete to a caller of HTTP/1.0

A backend server cuts a response in chunks short, or resets one without a length; a caller of HTTP/1.0 gets the part and an orderly end of the connection, which to it is the end of the response.

Cause: nothing but the end of the connection tells such a caller where the response ends, and the entry closed it in order in any case.

Change: the connection is set to end with a reset when the head of such a response is sent, and to end in order when the whole body has been written. So a panic, a failed write, a shutdown and the end of the process are resets too.

--- a/pkg/framing/listener.go
+++ b/pkg/framing/listener.go
@@ -134,6 +134,15 @@
 	return nil
 }
 
+// SetLinger sets what a close of the connection does (see net.TCPConn.SetLinger), if the
+// connection can do that.
+func (c *conn) SetLinger(seconds int) error {
+	if inner, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return inner.SetLinger(seconds)
+	}
+	return nil
+}
+
 // RequestEnded states that the response to the last request was sent.
 func (c *conn) RequestEnded() { c.memory.requestEnded() }
 
--- a/pkg/gateway/respond.go
+++ b/pkg/gateway/respond.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"lentilpin/pkg/audit"
+	"lentilpin/pkg/drain"
 	"lentilpin/pkg/peer/peerpb"
 	"lentilpin/pkg/routing"
 )
@@ -78,12 +79,29 @@
 	}
 	h.Set(runHeader, string(run))
 	c.announceDrain()
-	if a.resp.ContentLength >= 0 && h.Get("Content-Length") == "" && bodyAllowed(a.resp.Status) && c.r.Method != http.MethodHead {
+	hasBody := bodyAllowed(a.resp.Status) && c.r.Method != http.MethodHead
+	if a.resp.ContentLength >= 0 && h.Get("Content-Length") == "" && hasBody {
 		h.Set("Content-Length", strconv.FormatInt(a.resp.ContentLength, 10))
 	}
+	if a.resp.ContentLength < 0 && hasBody && !c.r.ProtoAtLeast(1, 1) {
+		c.endWhole = drain.ResetUnlessWhole(c.r.Context())
+	}
 	c.w.WriteHeader(a.resp.Status)
 }
 
+// endBody marks the end of a body that was written completely. It returns an error if the
+// caller does not take the rest.
+func (c *call) endBody() error {
+	if c.endWhole == nil {
+		return nil
+	}
+	if err := c.writePart(nil, true); err != nil {
+		return err
+	}
+	c.endWhole()
+	return nil
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
@@ -120,7 +138,7 @@
 			}
 		}
 		switch {
-		case err == io.EOF && callerGone:
+		case err == io.EOF && (callerGone || c.endBody() != nil):
 			return aborted, o
 		case err == io.EOF:
 			return answered, o
