A peer states where its response ends and whether the request ran

Where backend servers may respond without a length, the entry also took the end of a connection to a peer for the end of its response, although instances always state it; and a success without a run passed with an empty one.

Change: connections to peers permit no response without a length. A response of a peer that is no refusal and does not say that the request ran, or may have run, is 502 with run unknown.

Result: three of the seven cases of TestRunAfterInvalidResponseOfPeer failed before and pass. Its four former cases stay; their responses are written out, and each is a subtest now, on a connection that the peer closes.

--- a/pkg/gateway/handoff.go
+++ b/pkg/gateway/handoff.go
@@ -192,6 +192,10 @@
 func (c *call) sendHandoffResponse(a *attempt) result {
 	run := audit.Run(a.resp.Header.Get(runHeader))
 	a.resp.Header.Del(runHeader)
+	if run != audit.Ran && run != audit.Unknown { // a peer that has not run it has refused it
+		_ = a.resp.Body.Close()
+		return unknownResult(http.StatusBadGateway, reasonAttemptsFailed, "the response of the peer does not say whether the request ran")
+	}
 	prefix, complete, err := c.prefetch(a)
 	if err != nil {
 		_ = a.resp.Body.Close()
--- a/pkg/gateway/handoff_peers.go
+++ b/pkg/gateway/handoff_peers.go
@@ -57,6 +57,7 @@
 		derived.Connections.PerBackend = handoffConnections
 		derived.Connections.DialMS = handoffDialMS
 		derived.Connections.IdleMS = handoffIdleMS
+		derived.Responses.Unframed = false // instances state where their responses end
 		p.source, p.derived = current, &derived
 	}
 	return p.derived
--- a/pkg/gateway/invalid_response_test.go
+++ b/pkg/gateway/invalid_response_test.go
@@ -52,30 +52,40 @@
 }
 
 // Guards against an order that is run again, or reported as not run, because the peer to
-// which it was handed sends a response without a valid status or without a valid head.
+// which it was handed sends a response without a valid status, without a valid head, or one
+// that no instance sends: without a length, or without the run.
 func TestRunAfterInvalidResponseOfPeer(t *testing.T) {
-	for _, status := range []string{"000", "999", "103 x\r\n\r\nno", "200 x\r\nX A: 1\r\nX-B:"} {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFixture(t, 2, 4)
-			defer f.close()
-			peer := pipe.NewListener()
-			defer func() { require.NoError(t, peer.Close()) }()
-			received := 0
-			f.peerListeners[1] = peer
-			f.loops.Go(func() {
-				for c, err := peer.Accept(); err == nil; c, err = peer.Accept() {
-					if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-						received++
-						_, _ = io.Copy(io.Discard, r.Body)
-						_, _ = fmt.Fprintf(c, "HTTP/1.1 %s x\r\nContent-Length: 0\r\n\r\n", status)
+	const rest = " x\r\nContent-Length: 0\r\n\r\n"
+	const head = "HTTP/1.1 200 x\r\nLentilpin-Run: ran\r\n"
+	for _, raw := range []string{
+		"HTTP/1.1 000" + rest, "HTTP/1.1 999" + rest, "HTTP/1.1 103 x\r\n\r\nno" + rest,
+		head + "X A: 1\r\nContent-Length: 0\r\n\r\n", head + "\r\npart", "HTTP/1.1 200" + rest,
+		"HTTP/1.1 200 x\r\nLentilpin-Run: maybe\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(fmt.Sprintf("%q", raw), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixtureWith(t, 2, 4, unframedTreeText)
+				defer f.close()
+				peer := pipe.NewListener()
+				defer func() { require.NoError(t, peer.Close()) }()
+				received := 0
+				f.peerListeners[1] = peer
+				f.loops.Go(func() {
+					for c, err := peer.Accept(); err == nil; c, err = peer.Accept() {
+						if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+							received++
+							_, _ = io.Copy(io.Discard, r.Body)
+							_, _ = io.WriteString(c, raw)
+						}
+						_ = c.Close()
 					}
-				}
+				})
+				f.cutFromBackends(0, cut{})
+				got := f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
+				require.Equal(t, http.StatusBadGateway, got.Code, raw)
+				require.Equal(t, "unknown", got.Header().Get(runHeader))
+				require.Equal(t, 1, received)
 			})
-			f.cutFromBackends(0, cut{})
-			got := f.send(f.gateways[0], order("a", f.owners[0].Issue(time.Minute)))
-			require.Equal(t, http.StatusBadGateway, got.Code, status)
-			require.Equal(t, "unknown", got.Header().Get(runHeader))
-			require.Equal(t, 1, received)
 		})
 	}
 }
