Replies of the platform with names that are no tokens count for nothing

Cause: net/http passes on fields with blanks in their names. A field of the store that is written so, for example its era, is not recognized, and the reply is used without it.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"lentilpin/pkg/events"
+	"lentilpin/pkg/framing"
 )
 
 // Durations of one call.
@@ -180,6 +181,9 @@
 		return errors.Wrap(err, "call")
 	}
 	defer resp.Body.Close()
+	if err := framing.CheckResponse(resp); err != nil {
+		return err
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotModified:
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,8 +16,10 @@
 	"go.uber.org/goleak"
 
 	"lentilpin/pkg/events"
+	"lentilpin/pkg/framing"
 	"lentilpin/pkg/platform"
 	standin "lentilpin/standin/platform"
+	"lentilpin/standin/socket"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -99,3 +103,25 @@
 	require.Equal(t, codes[http.StatusTooManyRequests], s.Counters().Refused)
 	require.Equal(t, 3*standin.MaxReadsPerSecond, codes[http.StatusTooManyRequests]+codes[http.StatusNotModified])
 }
+
+// Guards against a reply whose head is not well formed that is read as a tree.
+func TestMalformedReply(t *testing.T) {
+	for _, head := range []string{"200 OK", "200 OK\r\nX A: 1", "200 OK\r\nX-A : 1", "304 x\r\nX A: 1", "429 x\r\nX A: 1"} {
+		server, err := socket.Listen(func(c net.Conn, _ int) {
+			socket.ServeRequests(c, func(*http.Request, []byte) bool {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nContent-Length: 24\r\n\r\n%s", head, `{"version":7,"value":{}}`)
+				return false
+			})
+		})
+		require.NoError(t, err)
+		c := platform.NewClient("http://"+server.Address(), 200, &fakeRecorder{})
+		_, _, err = c.ReadTree(t.Context(), 0)
+		if head == "200 OK" {
+			require.NoError(t, err)
+		} else {
+			require.ErrorIs(t, err, framing.ErrMalformedResponse, head)
+		}
+		c.Close()
+		server.Stop()
+	}
+}
