--- a/standin/socket/early.go
+++ b/standin/socket/early.go
@@ -16,6 +16,7 @@
 	ResetUnread    Ending = iota // resets the connection without reading the rest of the request
 	CloseAfterRest               // reads the rest of the request and closes the connection
 	HalfClose                    // closes its sending side, then reads the rest of the request
+	HalfCloseReset               // closes its sending side, then resets the connection without reading the rest
 	KeepOpen                     // reads the rest of the request and serves the next one
 )
 
@@ -31,10 +32,10 @@
 		if _, err := io.WriteString(c, response); err != nil {
 			return
 		}
-		if half, ok := c.(interface{ CloseWrite() error }); ok && ending == HalfClose {
+		if half, ok := c.(interface{ CloseWrite() error }); ok && (ending == HalfClose || ending == HalfCloseReset) {
 			_ = half.CloseWrite() // fails if the client has closed the connection
 		}
-		if ending == ResetUnread {
+		if ending == ResetUnread || ending == HalfCloseReset {
 			Reset(c)
 			return
 		}
