--- a/pkg/transport/early_response_test.go
+++ b/pkg/transport/early_response_test.go
@@ -75,7 +75,7 @@
 						continue
 					}
 					t.Log(err)
-require.ErrorIs(t, err, transport.ErrTruncated)
+					require.ErrorIs(t, err, transport.ErrTruncated)
 					require.Equal(t, tt.shed, resp != nil && resp.Signals.Shed)
 					if f := (*transport.Failure)(nil); errors.As(err, &f) {
 						require.False(t, f.NotRun)
