A response whose server ended in order before the reset is whole

Change: the exchange asks what the write has met. Linux fails it with EPIPE if the end of the response had arrived before the reset, with ECONNRESET otherwise. net/http hides the error of the socket, so the connection keeps it.

A first form, which asked the error that net/http returns, failed in each run.

--- a/pkg/transport/body.go
+++ b/pkg/transport/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"lentilpin/pkg/events"
 	"lentilpin/pkg/framing"
@@ -54,12 +55,17 @@
 // a failed write, a read returns the bytes that have arrived and then the end of the stream.
 // A body whose head states where it ends needs no such proof.
 func (x *exchange) verifyEnd(head *http.Response) error {
-	if !isUnframed(head) {
+	if !isUnframed(head) || hadEnded(x.writeErr) {
 		return nil
 	}
 	return x.writeErr
 }
 
+// hadEnded reports whether the backend server had ended its side of the connection in order
+// when the write failed, so that all of the response has arrived (RFC 9112, section 9.6).
+// Linux then fails the write with EPIPE. A reset without that fails it with ECONNRESET.
+func hadEnded(writeErr error) bool { return errors.Is(writeErr, unix.EPIPE) }
+
 // failBody ends an exchange whose response body is incomplete.
 func (x *exchange) failBody(ctx context.Context, err error) error {
 	x.stopContextWatch()
--- a/pkg/transport/conn.go
+++ b/pkg/transport/conn.go
@@ -40,6 +40,7 @@
 	exchanges  int                   // begun on this connection
 
 	bytesWritten int64 // bytes of the request that the socket accepted
+	writeErr     error // of the socket, which package net/http hides
 	readLimit    int64 // bytes that may still be read in the current part of the response
 
 	// awaitingResponseSince is the Unix time in nanoseconds at which the request
@@ -95,7 +96,7 @@
 
 // startExchange resets the per-exchange state.
 func (c *conn) startExchange(idempotent bool) {
-	c.bytesWritten, c.readLimit, c.closeOnSilence = 0, maxResponseHeadBytes, idempotent
+	c.bytesWritten, c.writeErr, c.readLimit, c.closeOnSilence = 0, nil, maxResponseHeadBytes, idempotent
 	c.newerConnSucceeded.Store(false)
 }
 
@@ -128,10 +129,11 @@
 	return found
 }
 
-// Write implements io.Writer and counts the bytes that the socket accepted.
+// Write implements io.Writer, counts the bytes that the socket accepted and keeps its error.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.bytesWritten += int64(n)
+	c.writeErr = err
 	return n, err
 }
 
--- a/pkg/transport/doc.go
+++ b/pkg/transport/doc.go
@@ -42,8 +42,8 @@
 // (Content-Length, chunked coding, or a status without a body). A response body
 // delimited by the end of the connection is rejected, because truncation cannot be
 // detected, unless responses.unframed permits it: then an orderly close ends the body,
-// and a reset counts as truncation, whether the write of the request or a read reports
-// it. Body returns ErrTruncated or the error of the context instead of io.EOF if the
+// and a reset before it counts as truncation, whether the write of the request or a read
+// reports it. Body returns ErrTruncated or the error of the context instead of io.EOF if the
 // response is incomplete or its trailers are not well formed. A response that arrives
 // while the request is being written is read after the write has ended.
 //
--- a/pkg/transport/exchange.go
+++ b/pkg/transport/exchange.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -222,11 +223,12 @@
 
 // write sends the request. conn.bytesWritten tells whether any byte was sent.
 func (x *exchange) write() error {
-	if err := x.buffers.request.Write(x.buffers.writer); err != nil {
-		return err
+	err := x.buffers.request.Write(x.buffers.writer)
+	if err == nil {
+		err = x.buffers.writer.Flush()
 	}
-	if err := x.buffers.writer.Flush(); err != nil {
-		return err
+	if err != nil {
+		return cmp.Or(x.conn.writeErr, err)
 	}
 	x.conn.awaitingResponseSince.Store(time.Now().UnixNano())
 	return nil
